--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Targets that a developer and CI use. The README documents them.
+GO      ?= go
+TOOL    := $(GO) tool -modfile=tools/go.mod
+PKGS    := ./...
+
+.PHONY: build test lint format demo measure slopes generate
+
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./cmd/...
+
+# Runs every test with the race detector. KNOWN-RED.txt lists the tests that fail because of a recorded fault.
+test:
+	./.ci/test
+
+lint:
+	./.ci/lint
+
+format:
+	$(TOOL) gofumpt -w .
+	$(TOOL) goimports -w -local dogwoodhead .
+
+generate:
+	$(GO) generate $(PKGS)
+
+demo: build
+	./bin/trial demo
+
+measure: build
+	./bin/trial measure
+
+slopes: build
+	./bin/trial slopes
