--- /dev/null
+++ b/cmd/dogwoodhead/node.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"dogwoodhead/node"
+	"dogwoodhead/settings"
+)
+
+func newNodeCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "node --settings FILE",
+		Short: "Run the node beside one backend server",
+		Long: `Runs the node until it gets SIGTERM or SIGINT. It then refuses new work for its
+backend server, finishes the calls in progress and exits with 0.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			src, err := os.ReadFile(file)
+			if err != nil {
+				return eris.Wrap(err, "read settings")
+			}
+			s, err := settings.Parse(file, src)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return eris.Wrap(node.Run(ctx, s, version), "run node")
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,193 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/jonboulle/clockwork"
+
+	"dogwoodhead/board"
+	"dogwoodhead/frame"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = 500 * time.Millisecond
+	// idleConnsPerPeer is how many idle connections to one peer are kept.
+	idleConnsPerPeer = 128
+	// idleTimeout closes connections to peers that are not called any more.
+	idleTimeout = 60 * time.Second
+)
+
+// Attempt is one attempt of a call, ready to be sent to a VM.
+type Attempt struct {
+	vm      board.VM
+	id      frame.Attempt
+	context frame.Context
+	request frame.Request
+}
+
+// NewAttempt returns the attempt.
+func NewAttempt(vm board.VM, id frame.Attempt, c frame.Context, r frame.Request) Attempt {
+	return Attempt{vm: vm, id: id, context: c, request: r}
+}
+
+// Reply is what a peer said about an attempt.
+type Reply struct {
+	// answer is set only where the outcome in feedback is Answered.
+	answer   frame.Answer
+	feedback frame.Feedback
+}
+
+// Answer returns the answer; it is valid only where the outcome is Answered.
+func (r Reply) Answer() frame.Answer { return r.answer }
+
+// Feedback returns what the peer said about itself.
+func (r Reply) Feedback() frame.Feedback { return r.feedback }
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	// Clock is used for the emulated delays.
+	Clock clockwork.Clock
+	// Body returns the largest answer body accepted, in bytes.
+	Body func() int64
+	// Delay returns the emulated one-way delay to a zone; zero in production.
+	Delay func(zone string) time.Duration
+	// Dial opens connections; net.Dialer where nil.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Client sends attempts to peers over HTTP/1.1.
+type Client struct {
+	o    ClientOptions
+	http *http.Client
+}
+
+// NewClient returns a client. Close it to drop idle connections.
+func NewClient(o ClientOptions) *Client {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext
+	}
+	return &Client{o: o, http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         o.Dial,
+			MaxIdleConns:        0,
+			MaxIdleConnsPerHost: idleConnsPerPeer,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Send makes one attempt. A nil error means that the peer said what became of
+// the attempt; Reply.Feedback has the outcome. Otherwise the error is a
+// *frame.OutcomeError: NotRun with ReasonDial where no byte was sent, else
+// Unknown.
+func (c *Client) Send(ctx context.Context, a Attempt) (Reply, error) {
+	if err := c.sleep(ctx, a.vm.Zone()); err != nil {
+		return Reply{}, frame.Refuse(frame.ReasonCancelled, "before the attempt was sent")
+	}
+	client := kithttp.NewExplicitClient(c.request, c.decode, kithttp.SetClient(c.http))
+	got, err := client.Endpoint()(ctx, a)
+	if err != nil {
+		return Reply{}, classify(ctx, a.vm, err)
+	}
+	reply := got.(Reply)
+	if reply.feedback.Attempt != a.id {
+		return Reply{}, frame.Lose(frame.ReasonPartial, "answer of another attempt")
+	}
+	if err := c.sleep(ctx, a.vm.Zone()); err != nil {
+		return Reply{}, frame.Lose(frame.ReasonTimeout, "while the answer was on its way")
+	}
+	return reply, nil
+}
+
+// sleep waits for the emulated one-way delay to a zone.
+func (c *Client) sleep(ctx context.Context, zone string) error {
+	d := c.o.Delay(zone)
+	if d <= 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.o.Clock.After(d):
+		return nil
+	}
+}
+
+// request builds the HTTP request of an attempt. GetBody stays unset and the
+// method is POST, so that the transport never sends an attempt twice after
+// having written a byte of it.
+func (c *Client) request(ctx context.Context, v any) (*http.Request, error) {
+	a := v.(Attempt)
+	url := "http://" + a.vm.Call() + "/call/" + a.request.Target().String()
+	body := struct{ io.Reader }{bytes.NewReader(a.request.Body())}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return nil, fmt.Errorf("build attempt %s: %w", a.id, err)
+	}
+	r.ContentLength = int64(len(a.request.Body()))
+	if r.ContentLength == 0 {
+		r.Body = http.NoBody
+	}
+	r.Header.Set(frame.HeaderContext, a.context.Encode())
+	r.Header.Set(frame.HeaderAttempt, a.id.String())
+	if step := a.request.Step(); step != "" {
+		r.Header.Set(frame.HeaderStep, step)
+	}
+	return r, nil
+}
+
+// decode reads a whole answer and checks length, digest and attempt.
+func (c *Client) decode(ctx context.Context, r *http.Response) (any, error) {
+	defer r.Body.Close()
+	fb, err := frame.ReadFeedback(r.Header)
+	if err != nil {
+		return nil, frame.Lose(frame.ReasonPartial, "answer without node headers: "+err.Error())
+	}
+	if fb.Outcome != frame.Answered {
+		return Reply{feedback: fb}, nil
+	}
+	body, err := ReadWhole(ctx, r, c.o.Body())
+	if err != nil {
+		return nil, err
+	}
+	answer := frame.NewAnswer(r.StatusCode, r.Header.Get("Content-Type"), body)
+	if want := strconv.FormatUint(answer.Digest(), 16); r.Header.Get(frame.HeaderDigest) != want {
+		return nil, frame.Lose(frame.ReasonPartial, "digest does not match the body")
+	}
+	return Reply{answer: answer, feedback: fb}, nil
+}
+
+// classify turns a transport error into an outcome. Only a failed dial proves
+// that no byte was sent.
+func classify(ctx context.Context, vm board.VM, err error) error {
+	var oe *frame.OutcomeError
+	if errors.As(err, &oe) {
+		return oe
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return frame.Refuse(frame.ReasonDial, "connect to "+vm.Name()+" at "+vm.Call())
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return frame.Lose(frame.ReasonTimeout, "no answer from "+vm.Name())
+	}
+	if ctx.Err() != nil {
+		return frame.Lose(frame.ReasonCancelled, "while waiting for "+vm.Name())
+	}
+	return frame.Lose(frame.ReasonLost, "connection to "+vm.Name()+" broke: "+err.Error())
+}
