--- a/peer/server.go
+++ b/peer/server.go
@@ -260,15 +260,11 @@
 }
 
 func (s *Server) admission(in *incoming) admit.Call {
-	needs := make([]string, 0, len(in.op.Calls()))
-	for _, t := range in.op.Calls() {
-		needs = append(needs, t.Service())
-	}
 	return admit.Call{
-		Priority:  in.context.Priority(),
-		Left:      in.deadline.Sub(s.o.Clock.Now()),
-		Operation: in.target.Operation(),
-		Needs:     needs,
+		Priority:     in.context.Priority(),
+		Left:         in.deadline.Sub(s.o.Clock.Now()),
+		Target:       in.target,
+		Dependencies: in.op.Dependencies(),
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -193,6 +193,21 @@
 // not change the slice.
 func (o *Operation) Calls() []frame.Target { return o.calls }
 
+// Dependencies returns the services that the operation calls directly, each
+// once.
+func (o *Operation) Dependencies() []string {
+	if len(o.calls) == 0 {
+		return nil
+	}
+	names := make([]string, 0, len(o.calls))
+	for _, t := range o.calls {
+		if !slices.Contains(names, t.Service()) {
+			names = append(names, t.Service())
+		}
+	}
+	return names
+}
+
 // Subtree returns every operation reachable from this one, itself first. The
 // caller must not change the slice.
 func (o *Operation) Subtree() []frame.Target { return o.subtree }
