Add parsing and merging of configuration, and node settings

Cause: nodes need the operators' documents and their own settings as checked values, with every fault located by file, line and column.

Change: package jsonc parses JSON with comments, refuses duplicate keys and deep nesting, validates against an embedded schema and maps pointers to positions. Packages policy and settings use it. Merge cuts slots that are more than the connections and warns of unknown services and zones. The base may list the zones of all sites, so that a misspelt zone in an overlay is found.

Seen to fail first: TestLimits without the nesting bound (stack overflow); TestMergeIsTotal without the cut of slots ("should have 1 item(s), but has 0"); TestMergeIgnoresOrderOfArrival with a merge that changes the base (tries 0 instead of 3); TestRefused/base/idempotence without the downstream check.

Conclusion: any accepted base merges with any accepted overlay, and what show will print is itself an acceptable base.

--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a field that is accepted and read into another one, and
+// against defaults that differ from those of the schema.
+func TestParse(t *testing.T) {
+	const places = `"vm": "a1", "zone": "z", "region": "r", "site": "s", "service": "a",
+		"listen": {"caller": "127.0.0.1:1", "call": "127.0.0.1:2", "control": "127.0.0.1:3", "outbound": "127.0.0.1:4", "operator": "[::1]:5"},
+		"backend": "127.0.0.1:6", "platform": "http://127.0.0.1:7", // the stand-in`
+	s, err := Parse("f", []byte("{"+places+"\n}"))
+	require.NoError(t, err)
+	require.Equal(t, []string{"a1", "z", "r", "s", "a"}, []string{s.VM(), s.Zone(), s.Region(), s.Site(), s.Service()})
+	require.Equal(t, []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "[::1]:5", "127.0.0.1:6", "http://127.0.0.1:7"},
+		[]string{s.Caller(), s.Call(), s.Control(), s.Outbound(), s.Operator(), s.Backend(), s.Platform()})
+	var doc struct {
+		Properties map[string]struct {
+			Default any `json:"default"`
+		} `json:"properties"`
+	}
+	require.NoError(t, json.Unmarshal(schemaSource, &doc))
+	require.Equal(t, doc.Properties["log"].Default, s.Log())
+	require.EqualValues(t, doc.Properties["memory"].Default, s.Memory())
+	require.Equal(t, doc.Properties["linger"].Default, s.Linger().String())
+	require.Equal(t, doc.Properties["drain"].Default, s.Drain().String())
+	require.Empty(t, s.Delays())
+
+	s, err = Parse("f", []byte("{"+places+`
+		"log": "debug", "linger": "0s", "drain": "5s", "memory": 2097152, "delays": {"z": "3.5ms"}}`))
+	require.NoError(t, err)
+	require.Equal(t, "debug", s.Log())
+	require.Zero(t, s.Linger())
+	require.Equal(t, 5*time.Second, s.Drain())
+	require.EqualValues(t, 2<<20, s.Memory())
+	require.Equal(t, map[string]time.Duration{"z": 3500 * time.Microsecond}, s.Delays())
+}
