Add commands check, show and version

Cause: operators need to check documents before they publish them.

Change: cobra commands in cmd/dogwoodhead, one file each. check prints file:line:column, pointer and reason of every fault of both documents and exits with 1; warnings leave the exit code at 0. show prints the effective policy; its output without an overlay is an acceptable base.

--- /dev/null
+++ b/cmd/dogwoodhead/documents.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"dogwoodhead/policy"
+)
+
+// documents are the files that check and show read.
+type documents struct {
+	base *policy.Base
+	// overlay is nil where no file was named.
+	overlay *policy.Overlay
+}
+
+// readDocuments reads BASE and, where it is named, OVERLAY. The error holds the
+// faults of both files.
+func readDocuments(files []string) (documents, error) {
+	var d documents
+	var errs []error
+	src, err := readFile(files[0], "base document")
+	if err == nil {
+		d.base, err = policy.ParseBase(files[0], src)
+	}
+	errs = append(errs, err)
+	if len(files) > 1 {
+		src, err = readFile(files[1], "overlay document")
+		if err == nil {
+			d.overlay, err = policy.ParseOverlay(files[1], src)
+		}
+		errs = append(errs, err)
+	}
+	return d, errors.Join(errs...)
+}
+
+func readFile(file, what string) ([]byte, error) {
+	src, err := os.ReadFile(file)
+	return src, eris.Wrapf(err, "read %s", what)
+}
+
+// merge returns the effective policy and prints the warnings.
+func (d documents) merge(stderr io.Writer) *policy.Policy {
+	p, warnings := policy.Merge(d.base, d.overlay)
+	for _, w := range warnings {
+		fmt.Fprintf(stderr, "warning: %s\n", w)
+	}
+	return p
+}
--- a/cmd/dogwoodhead/main.go
+++ b/cmd/dogwoodhead/main.go
@@ -2,4 +2,6 @@
 // operators' client.
 package main
 
-func main() {}
+import "os"
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
