Add stand-ins of the platform, a backend server and the callers

Cause: nodes can only be run against their three outside parties, and no third-party server may be used for them. Ruled out: a shared process for all three, because a test ends them one by one; a fixed list of faults at the start, because measurements switch them mid-run. Change: package standin with the platform (values, revisions, read limit, modes), the backend server (slots, connections, faults, ledger) and the callers (open-loop load that checks each answer against its request), and cmd/standin.

--- /dev/null
+++ b/standin/backend_test.go
@@ -0,0 +1,150 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+const patience = 10 * time.Second
+
+func newTestBackend(t *testing.T, clock clockwork.Clock, s BackendSettings) (*Backend, *httptest.Server) {
+	t.Helper()
+	if s.Calls == nil {
+		s.Calls = map[string][]string{"row": nil}
+	}
+	if s.Work == nil {
+		s.Work = map[string]Duration{"*": Duration(time.Second)}
+	}
+	b := NewBackend(s, clock)
+	srv := httptest.NewServer(b.Handler())
+	t.Cleanup(srv.Close)
+	return b, srv
+}
+
+func post(ctx context.Context, url, token string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(fmt.Sprintf(`{"token":%q}`, token)))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	return err
+}
+
+// Guards against a backend server that works on more requests than it has
+// slots, loses a slot when a request is cancelled, or miscounts in its ledger.
+func TestBackendSlotsAndLedger(t *testing.T) {
+	ctx := context.Background()
+	clock := clockwork.NewFakeClock()
+	b, srv := newTestBackend(t, clock, BackendSettings{Service: "ladder", Slots: 2})
+	done := make(chan error, 4)
+	send := func(ctx context.Context, token string, inflight int) {
+		go func() { done <- post(ctx, srv.URL+"/row", token) }()
+		require.Eventually(t, func() bool { return b.slots.inflight() == inflight }, patience, time.Millisecond)
+	}
+	gone, hangUp := context.WithCancel(ctx)
+	queued, leaveQueue := context.WithCancel(ctx)
+	send(ctx, "a", 1)
+	send(gone, "b", 2)
+	send(queued, "c", 3)
+	send(ctx, "a", 4)
+	require.NoError(t, clock.BlockUntilContext(ctx, 2))
+	require.Equal(t, uint64(2), b.Ledger(false).Operations["row"].Started, "two slots")
+
+	leaveQueue()
+	require.Error(t, <-done)
+	clock.Advance(500 * time.Millisecond)
+	hangUp()
+	require.Error(t, <-done)
+	require.Eventually(t, func() bool { return b.Ledger(false).Operations["row"].Started == 3 }, patience, time.Millisecond)
+	require.NoError(t, clock.BlockUntilContext(ctx, 2))
+	clock.Advance(time.Second)
+	require.NoError(t, <-done)
+	require.NoError(t, <-done)
+
+	v := b.Ledger(true)
+	require.Equal(t, OperationCounts{Started: 3, Finished: 2, Cancelled: 1, Abandoned: 1, Busy: 3, Work: 3}, v.Operations["row"])
+	require.Equal(t, []Entry{{Operation: "row", Token: "a", Runs: 2, Finished: 2, Busy: 2.5, Work: 2.5}}, v.Repeated)
+	require.Len(t, v.Entries, 2)
+}
+
+// Guards against faults that do not show: fewer slots, a cold start, a false
+// and a late report, a drain.
+func TestBackendKnobs(t *testing.T) {
+	ctx := context.Background()
+	clock := clockwork.NewFakeClock()
+	b, srv := newTestBackend(t, clock, BackendSettings{Service: "ladder", Slots: 4})
+	set := func(body string) {
+		resp, err := http.Post(srv.URL+"/control/knobs", "application/json", strings.NewReader(body))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	set(`{"slow": 10}`)
+	require.Equal(t, 10*time.Second, b.workTime("row"))
+	set(`{"slow": 1, "cold": "10s", "coldFactor": 5}`)
+	require.Equal(t, 5*time.Second, b.workTime("row"))
+	require.Equal(t, StateCold, b.report().health.State)
+	clock.Advance(5 * time.Second)
+	require.Equal(t, 3*time.Second, b.workTime("row"))
+	clock.Advance(5 * time.Second)
+	require.Equal(t, time.Second, b.workTime("row"))
+	require.Equal(t, StateLive, b.report().health.State)
+
+	set(`{"slots": 1}`)
+	require.NoError(t, b.slots.acquire(ctx))
+	full, cancel := context.WithCancel(ctx)
+	cancel()
+	require.Error(t, b.slots.acquire(full))
+	require.Equal(t, Load{Inflight: 1, Slots: 4}, b.report().load, "the real slots are not reported")
+	set(`{"inflight": 3, "reported": 9, "state": "cold"}`)
+	require.Equal(t, Load{Inflight: 3, Slots: 9}, b.report().load)
+
+	set(`{"inflight": null, "reported": null, "state": "", "lag": "3s"}`)
+	require.Equal(t, StateLive, b.report().health.State)
+	b.Drain()
+	require.Equal(t, StateLive, b.report().health.State, "reported late")
+	clock.Advance(3 * time.Second)
+	require.Equal(t, StateDraining, b.report().health.State)
+	b.ledger.start("row", "late", clock.Now())
+	require.Equal(t, uint64(1), b.Ledger(false).DrainStarts)
+	require.Equal(t, Duration(3*time.Second), b.Ledger(false).DrainLast)
+}
+
+// Guards against a backend server that takes more connections than allowed.
+func TestBackendRefusesConnections(t *testing.T) {
+	b := NewBackend(BackendSettings{Service: "ladder", Slots: 1, Connections: 1, Linger: Duration(time.Millisecond)}, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	l := httptest.NewUnstartedServer(nil).Listener
+	served := make(chan error)
+	go func() { served <- b.Serve(ctx, l) }()
+	first := &http.Client{Transport: &http.Transport{}}
+	resp, err := first.Get("http://" + l.Addr().String() + "/health")
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body) // a body that is read to its end leaves the connection open
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	second := &http.Client{Transport: &http.Transport{}}
+	_, err = second.Get("http://" + l.Addr().String() + "/health")
+	require.Error(t, err)
+	first.CloseIdleConnections()
+	require.Eventually(t, func() bool {
+		resp, err := second.Get("http://" + l.Addr().String() + "/health")
+		return err == nil && resp.Body.Close() == nil
+	}, patience, time.Millisecond)
+	cancel()
+	require.NoError(t, <-served)
+}
