--- a/admit/gate.go
+++ b/admit/gate.go
@@ -225,7 +225,7 @@
 	g.counts.admitted[c.Priority.Class()]++
 	est := g.times.operation(c.Target)
 	est.inflight++
-	return &Ticket{gate: g, entered: now, class: c.Priority.Class(), est: est}
+	return &Ticket{gate: g, entered: now, class: c.Priority.Class(), est: est, concurrency: g.inflight}
 }
 
 // dispatch hands free slots to queued calls in order.
--- a/admit/limit.go
+++ b/admit/limit.go
@@ -45,10 +45,10 @@
 	entered time.Time
 	// own is the time at the backend server without outbound calls.
 	own time.Duration
-	// full says that the limit was in use up to the last slot and calls were
-	// queued when the call left.
-	full bool
-	ok   bool
+	// concurrency is the number of calls in flight when the call entered, itself
+	// included.
+	concurrency int
+	ok          bool
 }
 
 // Limit is the concurrency limit of one backend server. An algorithm sets the
