--- a/cmd/dogwoodhead/node.go
+++ b/cmd/dogwoodhead/node.go
@@ -31,7 +31,7 @@
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			return eris.Wrap(node.Run(ctx, s, version), "run node")
+			return eris.Wrap(node.Run(ctx, s, version()), "run node")
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
--- a/cmd/dogwoodhead/root.go
+++ b/cmd/dogwoodhead/root.go
@@ -37,6 +37,9 @@
 		newCheckCommand(),
 		newShowCommand(),
 		newVersionCommand(),
+		newNodeCommand(),
+		newStatusCommand(),
+		newExplainCommand(),
 	)
 	return root
 }
--- a/peer/body.go
+++ b/peer/body.go
@@ -48,6 +48,7 @@
 		return nil, frame.Refuse(frame.ReasonMemory, "memory budget for bodies is used up")
 	}
 	body, err := readAll(r.Body, r.ContentLength, limit)
+	leaseOf(r.Context()).read()
 	switch {
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, frame.Refuse(frame.ReasonCancelled, "request body was cut short")
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -117,6 +117,7 @@
 	if !ok {
 		return board.VM{}, frame.Lose(frame.ReasonOwner, "the VM that issued the key is not in the list")
 	}
+	f.o.Chooser.Start(vm.Name())
 	return vm, nil
 }
 
@@ -132,10 +133,11 @@
 	c, err := out.Context(newID(), max(left, 0), loan.Permits())
 	if err != nil {
 		loan.Return(loan.Permits())
-		return frame.Answer{}, frame.Refuse(frame.ReasonGraph, err.Error())
+		err = frame.Refuse(frame.ReasonGraph, err.Error())
+		f.o.Chooser.Report(vm.Name(), route.Report{Err: err})
+		return frame.Answer{}, err
 	}
 	id := f.o.Sequencer.Next(receiver)
-	f.o.Chooser.Start(vm.Name())
 	reply, err := f.o.Client.Send(ctx, NewAttempt(vm, id, c, out.Request))
 	return f.book(out, vm, loan, reply, err)
 }
--- a/peer/lease.go
+++ b/peer/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -12,19 +13,28 @@
 // bodies. It is given back as a whole when the call ends.
 type Lease struct {
 	budget *semaphore.Weighted
+	// reader sets the read deadline of the connection; nil for calls that the
+	// node makes for itself.
+	reader *http.ResponseController
 	mu     sync.Mutex
 	// held is in bytes; never negative, zero after release.
 	held int64
 }
 
+// bodyTimeout bounds the reading of a request, so that a sender that stops
+// half-way does not hold memory. It ends when the body is read, because a
+// deadline that passes later would cancel the call.
+const bodyTimeout = 15 * time.Second
+
 type leaseKey struct{}
 
 // Leased wraps a handler: each request gets a lease on the budget, which is
 // given back when the handler returns.
 func Leased(budget *semaphore.Weighted, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		l := &Lease{budget: budget}
+		l := &Lease{budget: budget, reader: http.NewResponseController(w)}
 		defer l.release()
+		_ = l.reader.SetReadDeadline(time.Now().Add(bodyTimeout))
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), leaseKey{}, l)))
 	})
 }
@@ -62,6 +72,13 @@
 	return true
 }
 
+// read ends the time limit on the request body.
+func (l *Lease) read() {
+	if l.reader != nil {
+		_ = l.reader.SetReadDeadline(time.Time{})
+	}
+}
+
 func (l *Lease) add(n int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
