--- a/standin/call.go
+++ b/standin/call.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,8 +25,10 @@
 	class   ClassLoad
 	tally   *tally
 	token   string
-	key     string
-	random  *rand.Rand
+	// sends is the token of the current attempt.
+	sends  string
+	key    string
+	random *rand.Rand
 }
 
 // attemptResult is what one attempt came to.
@@ -49,8 +52,19 @@
 	})
 }
 
-// since returns the milliseconds since the start of the run.
-func (c *call) since() int64 { return c.callers.clock.Since(c.callers.start).Milliseconds() }
+// since returns the microseconds since the start of the run.
+func (c *call) since() int64 { return c.callers.clock.Since(c.callers.start).Microseconds() }
+
+// AttemptToken returns the token that a call sends with its attempt number n,
+// from 1. A retry of a keyed call repeats the body, because the key stands for
+// it; any other retry has a token of its own, so that runs caused by nodes can
+// be told from runs caused by callers.
+func AttemptToken(token string, keyed bool, n int) string {
+	if keyed || n == 1 {
+		return token
+	}
+	return token + "~" + strconv.Itoa(n)
+}
 
 // attempts sends the call until it has a whole answer or no retry is left. The
 // outcome covers all attempts: it is only "not run" where each one was.
@@ -58,6 +72,7 @@
 	outcome = OutcomeNotRun
 	backoff := c.class.Backoff.D()
 	for n = 1; ; n++ {
+		c.sends = AttemptToken(c.token, c.class.Keyed, n)
 		a := c.attempt(ctx)
 		if ctx.Err() != nil {
 			a = attemptResult{outcome: OutcomeHungUp}
@@ -85,7 +100,7 @@
 // attempt sends the call once, for a keyed call after it got a key. The time of
 // a keyed attempt covers both requests.
 func (c *call) attempt(ctx context.Context) attemptResult {
-	entry := c.callers.entry(c.random)
+	entry := c.callers.entry(c.class, c.random)
 	if c.class.Keyed && c.key == "" {
 		if a := c.getKey(ctx, entry); a.outcome != OutcomeWhole {
 			return a
@@ -93,7 +108,11 @@
 	}
 	resp, body, err := c.post(ctx, "http://"+entry+c.path("/call/"))
 	if err != nil {
-		return failure(err)
+		a := failure(err)
+		if a.reason == string(frame.ReasonDial) {
+			c.callers.refuse(entry)
+		}
+		return a
 	}
 	if c.callers.sc.Direct {
 		return c.judge(resp, body, frame.Answered.String())
@@ -116,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.class.Timeout.D()+2*delay+answerGrace)
 	defer cancel()
 	c.callers.sleep(ctx, delay)
-	ask, err := json.Marshal(Ask{Token: c.token})
+	ask, err := json.Marshal(Ask{Token: c.sends})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -146,7 +165,11 @@
 func (c *call) getKey(ctx context.Context, entry string) attemptResult {
 	resp, body, err := c.post(ctx, "http://"+entry+c.path("/key/"))
 	if err != nil {
-		return attemptResult{outcome: OutcomeNotRun, reason: "key-" + failure(err).reason}
+		a := failure(err)
+		if a.reason == string(frame.ReasonDial) {
+			c.callers.refuse(entry)
+		}
+		return attemptResult{outcome: OutcomeNotRun, reason: "key-" + a.reason}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return attemptResult{outcome: OutcomeNotRun, reason: "key-" + resp.Header.Get(frame.HeaderReason)}
@@ -185,7 +208,7 @@
 	case resp.StatusCode != http.StatusOK:
 		return attemptResult{outcome: OutcomeFailed, reason: resp.Status}
 	}
-	if err := CheckAnswer(c.callers.sc.Graph, c.class.Target, c.token, resp.Header, body, c.callers.sc.Direct); err != nil {
+	if err := CheckAnswer(c.callers.sc.Graph, c.class.Target, c.sends, resp.Header, body, c.callers.sc.Direct); err != nil {
 		return attemptResult{outcome: OutcomeWrong, reason: err.Error()}
 	}
 	return attemptResult{outcome: OutcomeWhole}
--- a/standin/callers.go
+++ b/standin/callers.go
@@ -22,6 +22,9 @@
 	// answerGrace is how long a caller waits beyond its own timeout, so that
 	// the system's own answer to the timeout still arrives.
 	answerGrace = 250 * time.Millisecond
+	// refusedFor is how long callers leave out an entry that refused a
+	// connection, as a client with several addresses does.
+	refusedFor = time.Second
 )
 
 // Callers is a stand-in of all callers of one deployment.
@@ -32,12 +35,17 @@
 	open   chan struct{}
 	next   atomic.Uint64
 	start  time.Time
+	// refused holds, per entry that refused a connection, until when (a
+	// time.Time) it is not used.
+	refused sync.Map
 }
 
 // NewCallers returns callers for a scenario; clock is the real clock where nil.
 func NewCallers(sc Scenario, clock clockwork.Clock) (*Callers, error) {
-	if len(sc.Entries) == 0 || len(sc.Classes) == 0 {
-		return nil, eris.New("scenario: entries and classes must not be empty")
+	for _, class := range sc.Classes {
+		if len(sc.Entries) == 0 && len(class.Entries) == 0 {
+			return nil, eris.Errorf("scenario: class %s has no entries", class.Name)
+		}
 	}
 	if clock == nil {
 		clock = clockwork.NewRealClock()
@@ -133,9 +141,25 @@
 }
 
 // entry returns the next entry to use.
-func (c *Callers) entry(random *rand.Rand) string {
-	if c.sc.Random {
-		return c.sc.Entries[random.IntN(len(c.sc.Entries))]
+func (c *Callers) entry(class ClassLoad, random *rand.Rand) string {
+	entries := class.Entries
+	if len(entries) == 0 {
+		entries = c.sc.Entries
 	}
-	return c.sc.Entries[c.next.Add(1)%uint64(len(c.sc.Entries))]
+	var entry string
+	for range len(entries) {
+		if c.sc.Random {
+			entry = entries[random.IntN(len(entries))]
+		} else {
+			entry = entries[c.next.Add(1)%uint64(len(entries))]
+		}
+		until, ok := c.refused.Load(entry)
+		if !ok || !c.clock.Now().Before(until.(time.Time)) {
+			break
+		}
+	}
+	return entry
 }
+
+// refuse leaves an entry out for a while.
+func (c *Callers) refuse(entry string) { c.refused.Store(entry, c.clock.Now().Add(refusedFor)) }
--- a/standin/result.go
+++ b/standin/result.go
@@ -69,7 +69,7 @@
 	Attempts int    `json:"attempts"`
 	// Keyed says that the call must run at most once.
 	Keyed bool `json:"keyed,omitempty"`
-	// Sent and Done are milliseconds from the start of the run.
+	// Sent and Done are microseconds from the start of the run.
 	Sent int64 `json:"sent"`
 	Done int64 `json:"done"`
 }
@@ -142,7 +142,7 @@
 	case OutcomeWhole:
 		t.r.Whole++
 		t.r.Answered = bump(t.r.Answered, root.Done)
-		t.latency = append(t.latency, float64(root.Done-root.Sent))
+		t.latency = append(t.latency, float64(root.Done-root.Sent)/1e3)
 	case OutcomeNotRun:
 		t.r.NotRun++
 	case OutcomeFailed:
@@ -160,9 +160,9 @@
 }
 
 // bump adds one to the element of a time series that holds a time in
-// milliseconds.
+// microseconds.
 func bump(series []int, at int64) []int {
-	i := int(at / Step.Milliseconds())
+	i := int(at / Step.Microseconds())
 	for len(series) <= i {
 		series = append(series, 0)
 	}
--- a/standin/scenario.go
+++ b/standin/scenario.go
@@ -40,6 +40,8 @@
 	Name string `json:"name"`
 	// Target is the operation called, as "service/operation".
 	Target string `json:"target"`
+	// Entries replaces those of the scenario where it is not empty.
+	Entries []string `json:"entries"`
 	// Rate is the mean number of calls a second.
 	Rate float64 `json:"rate"`
 	// Timeout bounds one attempt.
