--- /dev/null
+++ b/trial/arithmetic_test.go
@@ -0,0 +1,125 @@
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/standin"
+)
+
+const second = time.Second
+
+// steps returns a series in which each part lasts for whole seconds.
+func steps(parts ...[2]int) Series {
+	var s Series
+	for _, p := range parts {
+		for range p[1] * int(second/standin.Step) {
+			s = append(s, p[0])
+		}
+	}
+	return s
+}
+
+// Guards against a recovery time that starts before the level is held, or that
+// is found where goodput never comes back.
+func TestRecovery(t *testing.T) {
+	before := Span{From: 1 * second, To: 5 * second}
+	offered := steps([2]int{20, 30})
+	for _, c := range []struct {
+		name     string
+		answered Series
+		want     time.Duration
+		ok       bool
+	}{
+		{"at once", steps([2]int{20, 5}, [2]int{5, 10}, [2]int{20, 15}), 0, true},
+		{"after 3 s", steps([2]int{20, 5}, [2]int{5, 13}, [2]int{20, 12}), 3 * second, true},
+		{"a short peak is not held", steps([2]int{20, 5}, [2]int{5, 10}, [2]int{20, 1}, [2]int{5, 4}, [2]int{20, 10}), 5 * second, true},
+		{"94% is not enough", steps([2]int{100, 5}, [2]int{25, 10}, [2]int{94, 15}), 0, false},
+		{"95% is enough", steps([2]int{100, 5}, [2]int{25, 10}, [2]int{95, 15}), 0, true},
+		{"never", steps([2]int{20, 5}, [2]int{5, 25}), 0, false},
+		{"back only as the run ends", steps([2]int{20, 5}, [2]int{5, 24}, [2]int{20, 1}), 0, false},
+	} {
+		offered := offered
+		if c.answered[0] == 100 {
+			offered = steps([2]int{100, 30})
+		}
+		got, ok := Recovery(c.answered, offered, before, 15*second, 30*second)
+		require.Equal(t, c.ok, ok, c.name)
+		require.LessOrEqual(t, got, c.want, c.name)
+		// A window of 2 s that reaches back over a loss has 95% at most 0.2 s
+		// before the loss ends.
+		require.GreaterOrEqual(t, got, c.want-200*time.Millisecond, c.name)
+	}
+}
+
+var testDocument = &standin.Document{
+	Classes: []string{"booking", "lookup", "browse"},
+	Services: map[string]standin.DocumentService{
+		"shop": {Operations: map[string]standin.DocumentOperation{
+			"book": {Class: "booking", Calls: []string{"desk/enter", "desk/row"}},
+			"look": {Class: "lookup", Idempotent: true, Calls: []string{"desk/row"}},
+		}},
+		"desk": {Operations: map[string]standin.DocumentOperation{
+			"enter": {Class: "booking"},
+			"row":   {Class: "browse", Idempotent: true},
+		}},
+	},
+}
+
+// Guards against a limit that is above the offered load, that ignores the slots
+// held while waiting, or that serves classes in the wrong order.
+func TestCarry(t *testing.T) {
+	c := Capacity{
+		Document: testDocument,
+		Slots:    map[string]float64{"shop": 30, "desk": 10},
+		Work:     func(string) time.Duration { return 100 * time.Millisecond },
+	}
+	for _, tc := range []struct {
+		name             string
+		book, look, row  float64
+		wantB, wantL, wR float64
+	}{
+		{"below capacity all is carried", 10, 20, 30, 10, 20, 30},
+		{"the less important class is cut first", 20, 50, 100, 20, 50, 10},
+		{"the middle class is cut next", 20, 200, 100, 20, 60, 0},
+		{"the first class is cut by its own limit", 100, 10, 10, 50, 0, 0},
+	} {
+		got := c.Carry([]Demand{{"shop/book", tc.book}, {"shop/look", tc.look}, {"desk/row", tc.row}})
+		require.InDeltaSlice(t, []float64{tc.wantB, tc.wantL, tc.wR}, got, 1e-6, tc.name)
+	}
+	// A call to shop/look holds its slot for 200 ms, so 2 slots carry 10 a second.
+	c.Slots["shop"] = 2
+	require.InDeltaSlice(t, []float64{10}, c.Carry([]Demand{{"shop/look", 50}}), 1e-6)
+}
+
+// Guards against an account that misses a second run, a false "not run" or the
+// work of an attempt that brought no answer.
+func TestAccount(t *testing.T) {
+	roots := []standin.Root{
+		{Token: "a", Target: "shop/look", Outcome: standin.OutcomeWhole, Attempts: 2},
+		{Token: "b", Target: "shop/book", Outcome: standin.OutcomeWhole, Attempts: 2, Keyed: true},
+		{Token: "c", Target: "shop/look", Outcome: standin.OutcomeNotRun, Attempts: 1},
+		{Token: "d", Target: "shop/look", Outcome: standin.OutcomeNotRun, Attempts: 1},
+	}
+	ledgers := []standin.LedgerView{
+		{Service: "shop", Entries: []standin.Entry{
+			{Operation: "look", Token: "a", Runs: 1, Busy: 3},   // the caller gave this attempt up
+			{Operation: "look", Token: "a~2", Runs: 1, Busy: 2}, // and got this answer
+			{Operation: "look", Token: "d", Runs: 1, Busy: 1},   // ran though reported as not run
+			{Operation: "look", Token: "ready", Runs: 9, Busy: 9},
+		}},
+		{Service: "desk", Entries: []standin.Entry{{Operation: "row", Token: "a~2.0", Runs: 2, Busy: 4}, {Operation: "enter", Token: "b.0", Runs: 1, Busy: 1}}},
+		{Service: "desk", Entries: []standin.Entry{{Operation: "enter", Token: "b.0", Runs: 1, Busy: 1}}},
+	}
+	a := NewAccount(testDocument, roots, ledgers)
+	require.Equal(t, Account{
+		External: 6, Extra: 2, Busy: 12, Wasted: 3 + 1 + 2 + 1,
+		Twice: []string{"desk/enter b.0"}, Ran: []string{"shop/look d"},
+	}, a)
+	require.InDelta(t, 1+2.0/6, a.AttemptsPerRoot(), 1e-9)
+	require.InDelta(t, 7.0/12, a.WastedShare(), 1e-9)
+	require.Error(t, a.check(&standin.Result{}))
+	require.NoError(t, Account{}.check(&standin.Result{}))
+}
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	s.node, err = startProcess(f.dir, "node-"+s.VM.Name, f.programs.Node, "node", file)
+	s.node, err = startProcess(f.dir, "node-"+s.VM.Name, f.programs.Node, "node", "--settings", file)
 	return err
 }
 
