--- a/trial/series.go
+++ b/trial/series.go
@@ -19,9 +19,6 @@
 // Length returns the duration of the span.
 func (s Span) Length() time.Duration { return s.To - s.From }
 
-// shift returns the span moved by d.
-func (s Span) shift(d time.Duration) Span { return Span{From: s.From + d, To: s.To + d} }
-
 // Series counts events per standin.Step of a run.
 type Series []int
 
