Generate the configuration reference from the schemas

Cause: a page that is kept by hand falls behind the schemas.

A field without a description is an error.

Seen to fail first: TestPageIsCurrent with another description in settings.schema.json (-Read once. +Read once when a node starts.).

--- /dev/null
+++ b/docs/reference/main_test.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a reference that is behind the schemas, and against fields
+// without a description.
+func TestPageIsCurrent(t *testing.T) {
+	want, err := page([]string{
+		"../../policy/base.schema.json", "../../policy/overlay.schema.json", "../../settings/settings.schema.json",
+	})
+	require.NoError(t, err)
+	got, err := os.ReadFile("../configuration.md")
+	require.NoError(t, err)
+	require.Equal(t, want, string(got), `run "make generate"`)
+}
