--- /dev/null
+++ b/route/candidate.go
@@ -0,0 +1,69 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"dogwoodhead/board"
+)
+
+const (
+	// preallocated is the number of candidates that Pick handles without
+	// allocating: most services have fewer VMs.
+	preallocated = 64
+	// halfLife is the age at which a reported load counts half. Service times
+	// are well below it, so an older report says little about the present.
+	halfLife = time.Second
+)
+
+// rank orders candidates; a smaller one is better. Only the best rank that is
+// present is considered.
+type rank int
+
+const (
+	rankFree rank = iota
+	rankAvoided
+	rankTried
+	rankTriedAvoided
+	rankLast
+)
+
+// rankOf ranks a peer. A peer that failed is avoided for a time and after that
+// gets one call at a time until it answers, so that a peer that still fails
+// costs few calls.
+func rankOf(p board.Peer, now time.Time, tried bool) rank {
+	avoided := now.Before(p.Avoid) || p.Failures > 0 && p.Inflight > 0
+	switch {
+	case tried && avoided:
+		return rankTriedAvoided
+	case tried:
+		return rankTried
+	case avoided:
+		return rankAvoided
+	}
+	return rankFree
+}
+
+// candidate is a VM with its estimated load.
+type candidate struct {
+	// vm points into the snapshot of the VM list, which nobody changes.
+	vm *board.VM
+	// used estimates calls in flight and queued, not negative.
+	used float64
+	// limit is the concurrency limit, above 0.
+	limit float64
+}
+
+// newCandidate estimates the load of a peer: the reported one, which counts less
+// as it ages, and the attempts of this node that are in flight there.
+func newCandidate(vm *board.VM, p board.Peer, now time.Time, slots int) candidate {
+	limit := p.Load.Limit()
+	if limit <= 0 {
+		limit = max(slots, 1)
+	}
+	age := max(now.Sub(p.Seen), 0)
+	reported := float64(p.Load.Used()) * math.Exp2(-float64(age)/float64(halfLife))
+	return candidate{vm: vm, used: reported + float64(p.Inflight), limit: float64(limit)}
+}
+
+func (c candidate) utilisation() float64 { return c.used / c.limit }
