Test concurrent picks and reports

Cause: the tests of package route were single-threaded.

Change: TestConcurrentCalls runs Pick, View and Report from eight goroutines; no attempt may stay in flight.

Seen to fail first: with a count that reads and writes the peer in two steps ("Should be zero, but was 1").

--- a/route/route_test.go
+++ b/route/route_test.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -298,6 +300,29 @@
 	require.LessOrEqual(t, most-least, 4)
 }
 
+// Guards against attempts in flight that are lost or counted twice when calls
+// are concurrent.
+func TestConcurrentCalls(t *testing.T) {
+	f := newFixture(t, 3, "a@r", "b@r")
+	var g sync.WaitGroup
+	for range 8 {
+		g.Go(func() {
+			for range 500 {
+				vm, err := f.chooser.Pick(service, nil)
+				if !assert.NoError(t, err) {
+					return
+				}
+				f.chooser.View(service)
+				f.chooser.Report(vm.Name(), Report{Feedback: f.feedback(vm.Name(), 9, false)})
+			}
+		})
+	}
+	g.Wait()
+	for _, v := range f.chooser.View(service).Peers {
+		require.Zero(t, v.Inflight, v.VM)
+	}
+}
+
 // Guards against calls that leave the zone without need, a busy zone that keeps
 // its calls, and a choice of zone that ignores cost, room or region.
 func TestZones(t *testing.T) {
