--- a/node/control.go
+++ b/node/control.go
@@ -53,7 +53,6 @@
 
 func newControl(n *Node) *control {
 	c := &control{n: n, set: metrics.NewSet(), asked: make(map[string]time.Time), running: context.Background()}
-	metrics.RegisterSet(c.set)
 	c.platform = platform.NewClient(platform.Options{Addr: strings.TrimPrefix(n.set.Platform(), "http://")})
 	c.client = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: c.set})
 	c.workers = board.NewWorkers(controlWorkers, controlQueue, func(ctx context.Context, task func(context.Context)) { task(ctx) })
@@ -91,6 +90,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s for control", c.n.set.Control())
 	}
+	metrics.RegisterSet(c.set)
+	defer metrics.UnregisterSet(c.set, true)
 	c.mu.Lock()
 	c.running = ctx
 	c.mu.Unlock()
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/board"
+	"dogwoodhead/frame"
+	"dogwoodhead/settings"
+	"dogwoodhead/standin"
+)
+
+// testBase is a chain of three services with one call that is not idempotent.
+const testBase = `{
+	"classes": ["booking", "lookup"],
+	"body": 65536,
+	"services": {
+		"front": {"slots": 8, "operations": {
+			"look": {"class": "lookup", "idempotent": true, "timeout": "5s", "calls": ["middle/find"]},
+			"book": {"class": "booking", "idempotent": false, "timeout": "5s", "calls": ["middle/write"]}
+		}},
+		"middle": {"slots": 8, "operations": {
+			"find": {"class": "lookup", "idempotent": true, "timeout": "5s", "calls": ["deep/get"]},
+			"write": {"class": "booking", "idempotent": false, "timeout": "5s", "calls": []}
+		}},
+		"deep": {"slots": 8, "operations": {
+			"get": {"class": "lookup", "idempotent": true, "timeout": "5s", "calls": []}
+		}}
+	}
+}`
+
+// testServer is one VM of a testFleet: a node and its backend server.
+type testServer struct {
+	vm       board.VMFields
+	caller   string
+	operator string
+	backend  *standin.Backend
+	node     *Node
+	// stop ends the node gracefully; done gets the result of Run.
+	stop context.CancelFunc
+	done chan error
+}
+
+// testFleet runs nodes and stand-ins in the test's process, on loopback.
+type testFleet struct {
+	platform *standin.Platform
+	servers  []*testServer
+	client   *http.Client
+}
+
+// startFleet runs one VM for each named service and waits until all serve.
+func startFleet(t testing.TB, base string, work time.Duration, services ...string) *testFleet {
+	t.Helper()
+	f := &testFleet{platform: standin.NewPlatform(standin.PlatformOptions{}), client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64},
+	}}
+	t.Cleanup(f.client.CloseIdleConnections)
+	web := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(web.Close)
+	var list struct {
+		VMs []board.VMFields `json:"vms"`
+	}
+	for i, service := range services {
+		s := &testServer{caller: freeAddress(t), operator: freeAddress(t), vm: board.VMFields{
+			Name: service + "-" + string(rune('a'+i)), Zone: "z1", Region: "r1", Service: service,
+			Call: freeAddress(t), Control: freeAddress(t),
+		}}
+		list.VMs = append(list.VMs, s.vm)
+		f.servers = append(f.servers, s)
+	}
+	vms, err := json.Marshal(list)
+	require.NoError(t, err)
+	f.platform.Publish("base", 0, []byte(base))
+	f.platform.Publish("vms", 0, vms)
+	doc, err := standin.ReadDocument([]byte(base))
+	require.NoError(t, err)
+	for _, s := range f.servers {
+		f.startServer(t, s, doc, work, web.URL)
+	}
+	for _, s := range f.servers {
+		f.waitReady(t, s, len(f.servers))
+	}
+	return f
+}
+
+func (f *testFleet) startServer(t testing.TB, s *testServer, doc *standin.Document, work time.Duration, platform string) {
+	t.Helper()
+	outbound := freeAddress(t)
+	set := standin.BackendSettings{
+		Service: s.vm.Service, Outbound: outbound, Work: map[string]standin.Duration{"*": standin.Duration(work)},
+		Linger: standin.Duration(10 * time.Millisecond),
+	}
+	require.NoError(t, set.Declare(doc))
+	s.backend = standin.NewBackend(set, clockwork.NewRealClock())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	backendCtx, stopBackend := context.WithCancel(context.Background())
+	go func() { _ = s.backend.Serve(backendCtx, ln) }()
+	src, err := json.Marshal(map[string]any{
+		"vm": s.vm.Name, "zone": s.vm.Zone, "region": s.vm.Region, "site": "r1", "service": s.vm.Service,
+		"listen": map[string]string{
+			"caller": s.caller, "call": s.vm.Call, "control": s.vm.Control, "outbound": outbound, "operator": s.operator,
+		},
+		"backend": ln.Addr().String(), "platform": platform, "linger": "100ms", "drain": "10s",
+	})
+	require.NoError(t, err)
+	parsed, err := settings.Parse("test", src)
+	require.NoError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s.node = New(parsed, "test", log, clockwork.NewRealClock())
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop, s.done = cancel, make(chan error, 1)
+	go func() { s.done <- s.node.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-s.done:
+			require.NoError(t, err)
+		case <-time.After(20 * time.Second):
+			t.Errorf("node %s did not stop", s.vm.Name)
+		}
+		stopBackend()
+	})
+}
+
+// waitReady waits until a node has its documents and knows all VMs. The limit
+// only ends a test that would hang.
+func (f *testFleet) waitReady(t testing.TB, s *testServer, vms int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return s.node.board.InForce() != nil && s.node.board.Members().Len() == vms && s.node.board.Fresh()
+	}, 30*time.Second, 20*time.Millisecond, "node %s is not ready", s.vm.Name)
+}
+
+// server returns the first VM of a service.
+func (f *testFleet) server(service string) *testServer {
+	for _, s := range f.servers {
+		if s.vm.Service == service {
+			return s
+		}
+	}
+	return nil
+}
+
+// post sends a request to an address and returns the whole response.
+func (f *testFleet) post(t testing.TB, address, path, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := f.client.Do(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	_, err = b.ReadFrom(resp.Body)
+	require.NoError(t, err)
+	return resp, b.String()
+}
+
+// key gets an operation key through a node.
+func (f *testFleet) key(t testing.TB, s *testServer, target string) string {
+	t.Helper()
+	resp, key := f.post(t, s.caller, "/key/"+target, "")
+	require.Equal(t, http.StatusOK, resp.StatusCode, key)
+	return key
+}
+
+// runs returns how often the backend server of a service started an operation.
+func (f *testFleet) runs(service, operation string) int {
+	n := 0
+	for _, s := range f.servers {
+		if s.vm.Service == service {
+			n += int(s.backend.Ledger(false).Operations[operation].Started)
+		}
+	}
+	return n
+}
+
+// nextPort hands out ports below the range from which the system takes those of
+// outgoing connections, so that no such connection takes an address first.
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	const first, count = 20_000, 10_000
+	for range count {
+		port := first + int(nextPort.Add(1)+int32(os.Getpid()*61))%count
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, ln.Close())
+		return ln.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// outcome returns the outcome and reason that a response names.
+func outcome(r *http.Response) string {
+	return strings.TrimSpace(r.Header.Get(frame.HeaderOutcome) + " " + r.Header.Get(frame.HeaderReason))
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/frame"
+	"dogwoodhead/standin"
+)
+
+// ask returns the request body of the stand-in backend server.
+func ask(token string) string { return fmt.Sprintf(`{"token":%q}`, token) }
+
+// Guards against a call that does not reach the deepest service and come back
+// whole.
+func TestCallPath(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	doc, err := standin.ReadDocument([]byte(testBase))
+	require.NoError(t, err)
+	for _, entry := range f.servers {
+		token := "look-" + entry.vm.Name
+		resp, body := f.post(t, entry.caller, "/call/front/look", ask(token))
+		require.Equal(t, http.StatusOK, resp.StatusCode, body)
+		require.Equal(t, "answered", outcome(resp))
+		require.NoError(t, standin.CheckAnswer(doc.Graph(), "front/look", token, resp.Header, []byte(body), false))
+	}
+	require.Equal(t, len(f.servers), f.runs("deep", "get"))
+}
+
+// Guards against bad input that gets no clear error, or that reaches a backend
+// server.
+func TestBadInput(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	front := f.server("front")
+	long := strings.Repeat("x", 70_000)
+	tests := []struct {
+		name    string
+		address string
+		path    string
+		body    string
+		headers []string
+		status  int
+		outcome string
+		text    string
+	}{
+		{"unknown service", front.caller, "/call/none/look", ask("t"), nil, 404, "notrun service", "none/look"},
+		{"unknown operation", front.caller, "/call/front/none", ask("t"), nil, 404, "notrun service", "front/none"},
+		{"malformed name", front.caller, "/call/Front/look", ask("t"), nil, 400, "notrun bad", "Front"},
+		{"body too large", front.caller, "/call/front/look", long, nil, 413, "notrun size", "longer than allowed"},
+		{"no key", front.caller, "/call/front/book", ask("t"), nil, 428, "notrun key", "/key/front/book"},
+		{"malformed key", front.caller, "/call/front/book", ask("t"), []string{frame.HeaderKey, "x;y"}, 428, "notrun key", ""},
+		{"malformed timeout", front.caller, "/call/front/look", ask("t"), []string{frame.HeaderTimeout, "soon"}, 400, "notrun bad", "800ms"},
+		{"negative timeout", front.caller, "/call/front/look", ask("t"), []string{frame.HeaderTimeout, "-1s"}, 400, "notrun bad", "positive"},
+		{"no context at a node", front.vm.Call, "/call/front/look", ask("t"), nil, 400, "notrun bad", frame.HeaderContext},
+		{"malformed context at a node", front.vm.Call, "/call/front/look", ask("t"), []string{frame.HeaderContext, "call=1"}, 400, "notrun bad", "call"},
+		{"key of an unknown operation", front.caller, "/key/front/none", "", nil, 404, "notrun service", "front/none"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, body := f.post(t, tt.address, tt.path, tt.body, tt.headers...)
+			require.Equal(t, tt.status, resp.StatusCode, body)
+			require.Equal(t, tt.outcome, outcome(resp))
+			require.Contains(t, body, tt.text)
+		})
+	}
+	require.Zero(t, f.runs("front", "look")+f.runs("front", "book"))
+}
+
+// Guards against a caller that stops half-way through its request body having
+// its call run, or holding the node up.
+func TestCallerStopsHalfway(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	front := f.server("front")
+	conn, err := net.Dial("tcp", front.caller)
+	require.NoError(t, err)
+	_, err = fmt.Fprint(conn, "POST /call/front/look HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{\"token\":")
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	resp, body := f.post(t, front.caller, "/call/front/look", ask("after"))
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
+	require.Equal(t, 1, f.runs("front", "look"))
+}
+
+// Guards against half an answer of a backend server being passed on as an answer.
+func TestHalfAnswer(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	f.server("front").backend.SetKnobs(standin.Knobs{Half: 1})
+	resp, body := f.post(t, f.server("deep").caller, "/call/front/look", ask("half"))
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode, body)
+	require.Equal(t, "unknown partial", outcome(resp))
+}
+
+// Guards against a keyed call that runs again when the caller retries it, also
+// through another entry node, and against a key that runs another body.
+func TestKeyRunsOnce(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	key := f.key(t, f.server("deep"), "front/book")
+	var answers []string
+	for _, entry := range f.servers {
+		resp, body := f.post(t, entry.caller, "/call/front/book", ask("pay"), frame.HeaderKey, key)
+		require.Equal(t, http.StatusOK, resp.StatusCode, body)
+		answers = append(answers, body)
+	}
+	require.Equal(t, []string{answers[0], answers[0], answers[0]}, answers)
+	resp, body := f.post(t, f.server("front").caller, "/call/front/book", ask("other"), frame.HeaderKey, key)
+	require.Equal(t, "notrun key", outcome(resp), body)
+	require.Equal(t, 1, f.runs("front", "book"))
+	require.Equal(t, 1, f.runs("middle", "write"))
+}
+
+// Guards against a backend server whose own retries run an operation twice that
+// is not idempotent.
+func TestBackendRepeats(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	// The first answer of middle is lost on its way to front's backend server,
+	// which then repeats the call.
+	f.server("middle").backend.SetKnobs(standin.Knobs{Half: 1})
+	key := f.key(t, f.server("front"), "front/book")
+	resp, body := f.post(t, f.server("front").caller, "/call/front/book", ask("pay"), frame.HeaderKey, key)
+	require.NotEqual(t, http.StatusOK, resp.StatusCode, body)
+	require.Equal(t, 1, f.runs("middle", "write"))
+}
+
+// Guards against a planned stop that cuts a call in progress, and against new
+// work that reaches the backend server after it began.
+func TestGracefulStop(t *testing.T) {
+	f := startFleet(t, testBase, 300*time.Millisecond, "front", "middle", "deep", "deep")
+	type result struct {
+		status int
+		body   string
+	}
+	results := make(chan result, 8)
+	for i := range 8 {
+		go func() {
+			resp, body := f.post(t, f.server("middle").caller, "/call/deep/get", ask(fmt.Sprintf("t%d", i)))
+			results <- result{resp.StatusCode, body}
+		}()
+	}
+	leaving := f.servers[3]
+	require.Eventually(t, func() bool { return f.runs("deep", "get") == 8 }, 10*time.Second, time.Millisecond)
+	leaving.stop()
+	require.Eventually(t, func() bool { return leaving.node.board.Leaving() }, 10*time.Second, time.Millisecond)
+	before := leaving.backend.Ledger(false).Operations["get"].Started
+	for i := range 8 {
+		resp, body := f.post(t, f.server("middle").caller, "/call/deep/get", ask(fmt.Sprintf("u%d", i)))
+		require.Equal(t, http.StatusOK, resp.StatusCode, body)
+	}
+	for range 8 {
+		r := <-results
+		require.Equal(t, http.StatusOK, r.status, r.body)
+	}
+	require.Equal(t, before, leaving.backend.Ledger(false).Operations["get"].Started)
+}
+
+// Guards against status and explain that do not show the state of the node.
+func TestOperatorViews(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	front := f.server("front")
+	var status struct {
+		VM, Service, Revision string
+		VMs                   int
+	}
+	f.get(t, "http://"+front.operator+"/status", &status)
+	require.Equal(t, "front", status.Service)
+	require.Equal(t, 3, status.VMs)
+	require.Equal(t, "1.0", status.Revision)
+	var e struct {
+		Verdict string
+		Steps   []struct{ Check string }
+	}
+	f.get(t, "http://"+front.operator+"/explain?op=front/look", &e)
+	require.Equal(t, "admit", e.Verdict)
+	require.NotEmpty(t, e.Steps)
+}
+
+func (f *testFleet) get(t testing.TB, url string, v any) {
+	t.Helper()
+	resp, err := f.client.Get(url)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(v))
+}
--- a/standin/backend_http.go
+++ b/standin/backend_http.go
@@ -134,6 +134,8 @@
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(body[:len(body)/2]) // the connection is cut next
+	_, _ = w.Write(body[:len(body)/2])
+	// The half must leave the server before the connection is cut.
+	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
