--- a/retry/policy.go
+++ b/retry/policy.go
@@ -172,3 +172,18 @@
 	}
 	return mean/2 + time.Duration(r*float64(mean))
 }
+
+// Merge returns the error to report for a call whose earlier attempts gave
+// sofar, nil where there are none, and whose last attempt gave last. A call is
+// not run only where no attempt may have run. ReasonVoid comes from the owner
+// of the operation key and speaks for all attempts with the key.
+func Merge(sofar, last error) error {
+	outcome, reason := frame.OutcomeOf(last)
+	if outcome == frame.NotRun && reason == frame.ReasonVoid {
+		return last
+	}
+	if o, _ := frame.OutcomeOf(sofar); sofar != nil && o == frame.Unknown {
+		return sofar
+	}
+	return last
+}
