--- a/once/world_test.go
+++ b/once/world_test.go
@@ -302,9 +302,9 @@
 				}
 			}
 		},
-		"finish":  w.finishRun,
-		"pause":   func() { w.live("node").paused = true },
-		"wake":    func() { w.wake(w.pick("node")) },
+		"finish": w.finishRun,
+		"pause":  func() { w.live("node").paused = true },
+		"wake":   func() { w.wake(w.pick("node")) },
 		"restart": func() {
 			if w.chance("restart", 40) {
 				w.restart(w.pick("node"))
--- a/retry/escrow.go
+++ b/retry/escrow.go
@@ -24,6 +24,8 @@
 	// returned is what Close gave back to the span's own lender.
 	returned int
 	closed   bool
+	// lendable is the lending rule; the measurement of other rules replaces it.
+	lendable func(held int) int
 }
 
 // Totals says where the permits of an escrow are.
@@ -37,7 +39,7 @@
 // NewEscrow returns the escrow of a span that was given tries permits.
 func NewEscrow(tries int) *Escrow {
 	tries = max(tries, 0)
-	return &Escrow{created: tries, held: tries}
+	return &Escrow{created: tries, held: tries, lendable: keepOne}
 }
 
 // Lend takes permits for one attempt of a call that the span makes. A leaf
@@ -53,15 +55,15 @@
 	if leaf || e.closed {
 		return l
 	}
-	l.permits = lendable(e.held)
+	l.permits = e.lendable(e.held)
 	e.held -= l.permits
 	e.lent += l.permits
 	e.check()
 	return l
 }
 
-// lendable returns how many of the permits held may be lent to one call.
-func lendable(held int) int { return max(held-1, 0) }
+// keepOne is the lending rule in force.
+func keepOne(held int) int { return max(held-1, 0) }
 
 // Spend takes one permit for an extra attempt and reports whether there was one.
 func (e *Escrow) Spend() bool {
