Add distribution of documents and the view of other nodes

Cause: documents and the VM list have to be in force at every node within seconds, also when the platform or parts of the network fail, and peers have to learn that a node leaves without new calls.

Ruled out: a watch after the accepted revision only, because a refused document would be read in a tight loop; a watch after the refused one only, because the state machine found nodes that missed an acceptable revision below it; the revision of a refused document as the base of a pull, for the same reason.

Change: package relay reads the platform on three nodes per zone and key, forwards along a tree per revision in both directions, goes around neighbours that do not answer, pulls on contact and probes a random peer every 1.5 s. Package member parses the VM list, sends heartbeats to the peers of called services, announces leaving to recent senders, and refreshes after a pause.

Before and after: a state machine over nine nodes in three zones with platform, partition, pause and restart faults.

--- /dev/null
+++ b/member/sim_test.go
@@ -0,0 +1,336 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+
+	"dogwoodhead/board"
+	"dogwoodhead/frame"
+	"dogwoodhead/platform"
+	"dogwoodhead/relay"
+)
+
+const simSite = "ogun-west"
+
+var (
+	simOverlay = relay.OverlayKey(simSite)
+	simKeys    = []string{relay.KeyBase, simOverlay, relay.KeyVMs}
+	errCut     = errors.New("no route")
+)
+
+// sim runs many nodes on one fake clock, with a fake network and a fake platform.
+type sim struct {
+	clock *clockwork.FakeClock
+	rng   *rand.Rand
+	plat  *simPlatform
+	nodes map[string]*simNode
+	// byAddr is keyed by control address.
+	byAddr map[string]*simNode
+	names  []string
+	queue  []simTask
+	// side is the part of the network that a node is in; the platform is
+	// reachable from the parts in platSides, from all where that is nil.
+	side      map[string]int
+	platSides map[int]bool
+	// calls[a] are the services that the nodes of service a call.
+	calls map[string][]string
+	// readers per zone; 0 for the default.
+	readers int
+	// list, if set, replaces the parsing of VM lists by every node of a large sim.
+	list *board.Members
+	// sent counts messages by kind; failed ones too.
+	sent map[string]int
+}
+
+type simTask struct {
+	node *simNode
+	run  func(context.Context)
+}
+
+type simNode struct {
+	sim    *sim
+	vm     board.VM
+	up     bool
+	paused bool
+	board  *board.Board
+	store  *relay.Store
+	relay  *relay.Relay
+	member *Member
+}
+
+func newSim(seed uint64, start time.Time) *sim {
+	s := &sim{
+		clock: clockwork.NewFakeClockAt(start), rng: rand.New(rand.NewPCG(seed, 1)),
+		nodes: make(map[string]*simNode), byAddr: make(map[string]*simNode), side: make(map[string]int), sent: make(map[string]int),
+		calls: map[string][]string{"front": {"middle"}, "middle": {"leaf"}},
+	}
+	s.plat = &simPlatform{sim: s, docs: make(map[string][]platform.Value), up: true}
+	return s
+}
+
+// add creates a VM entry and its node, without starting it.
+func (s *sim) add(i int, zone, service string) *simNode {
+	vm := board.NewVM(board.VMFields{
+		Name: fmt.Sprintf("vm-%04d", i), Zone: zone, Service: service,
+		Call:    fmt.Sprintf("10.%d.%d.1:7001", i/200, i%200),
+		Control: fmt.Sprintf("10.%d.%d.1:7002", i/200, i%200),
+	})
+	n := &simNode{sim: s, vm: vm}
+	s.nodes[vm.Name()] = n
+	s.byAddr[vm.Control()] = n
+	s.names = append(s.names, vm.Name())
+	return n
+}
+
+// nine adds nine nodes in three zones and three services.
+func (s *sim) nine() {
+	for i := range 9 {
+		s.add(i, fmt.Sprintf("zone-%d", i%3), []string{"front", "middle", "leaf"}[i/3])
+	}
+}
+
+func (s *sim) newRand() *rand.Rand { return rand.New(rand.NewPCG(s.rng.Uint64(), 2)) }
+
+// start runs a new process with empty memory.
+func (n *simNode) start() {
+	s := n.sim
+	set := metrics.NewSet()
+	self := board.NewSelf(n.vm, simSite, frame.NewIncarnation(n.vm.Name(), s.newRand()))
+	b := board.New(self)
+	p := &simNode{sim: s, vm: n.vm, board: b}
+	submit := func(task func(context.Context)) bool {
+		s.queue = append(s.queue, simTask{node: n, run: func(ctx context.Context) {
+			if n.store == p.store {
+				task(ctx)
+			}
+		}})
+		return true
+	}
+	p.store = relay.NewStore(relay.StoreOptions{Site: simSite, Check: simCheck(s), Apply: func(c relay.Change) {
+		if c.Changed.Key() != relay.KeyVMs {
+			return
+		}
+		if s.list != nil {
+			b.SetMembers(s.list)
+			return
+		}
+		if err := p.member.Apply(c.Changed); err != nil {
+			panic(err)
+		}
+	}})
+	p.member = New(Options{
+		Board: b, Clock: s.clock, Rand: s.newRand(), Metrics: set,
+		Services: func() []string { return s.calls[n.vm.Service()] },
+		Load:     func() frame.Load { return frame.NewLoad(3, 50) },
+		Revs:     p.store.Revs,
+		Contact:  func(vm string, revs relay.Revs) { p.relay.ContactRevs(vm, revs) },
+		Ready:    func() bool { return p.relay.Ready() },
+		Refresh:  func(ctx context.Context) error { return p.relay.Refresh(ctx) },
+		Go:       submit,
+		Hello: func(ctx context.Context, addr string, st State) (State, error) {
+			return deliver(s, n, addr, "hello", st, func(to *simNode, st State) (State, error) { return to.member.HandleHello(ctx, st) })
+		},
+		Beat: func(ctx context.Context, addr string, st State) (State, error) {
+			return deliver(s, n, addr, "beat", st, func(to *simNode, st State) (State, error) { return to.member.HandleBeat(ctx, st) })
+		},
+		Leave: func(ctx context.Context, addr string, st State) error {
+			_, err := deliver(s, n, addr, "leave", st, func(to *simNode, st State) (State, error) { return State{}, to.member.HandleLeave(ctx, st) })
+			return err
+		},
+	})
+	p.relay = relay.New(relay.Options{
+		Self: self, Clock: s.clock, Rand: s.newRand(), Store: p.store, Metrics: set,
+		Members: b.Members, Lookup: p.member.Lookup, Go: submit, Readers: s.readers, Seeds: s.seeds(),
+		Push: func(ctx context.Context, vm board.VM, r relay.PushRequest) (relay.PushReply, error) {
+			return deliver(s, n, vm.Control(), "push", r, func(to *simNode, r relay.PushRequest) (relay.PushReply, error) { return to.relay.HandlePush(ctx, r) })
+		},
+		Pull: func(ctx context.Context, vm board.VM, r relay.PullRequest) (relay.PullReply, error) {
+			return deliver(s, n, vm.Control(), "pull", r, func(to *simNode, r relay.PullRequest) (relay.PullReply, error) { return to.relay.HandlePull(ctx, r) })
+		},
+		Read: func(_ context.Context, key string) (platform.Value, error) { return s.plat.read(n, key) },
+		Watch: func(key string, after uint64, _ time.Duration, done func(platform.Value, error)) {
+			s.plat.watch(n, p.store, key, after, done)
+		},
+	})
+	n.board, n.store, n.relay, n.member = p.board, p.store, p.relay, p.member
+	n.up, n.paused = true, false
+}
+
+// simCheck refuses texts that start with "bad" and VM lists that do not parse.
+func simCheck(s *sim) func(relay.Document) error {
+	return func(d relay.Document) error {
+		if bytes.HasPrefix(d.Bytes(), []byte("bad")) {
+			return errors.New("bad document")
+		}
+		if d.Key() != relay.KeyVMs || s.list != nil {
+			return nil
+		}
+		_, err := ParseList(d.Bytes())
+		return err
+	}
+}
+
+func (s *sim) seeds() []string {
+	if s.list != nil {
+		return nil
+	}
+	return []string{s.nodes[s.names[0]].vm.Control(), s.nodes[s.names[4]].vm.Control(), s.nodes[s.names[8]].vm.Control()}
+}
+
+func (n *simNode) reachable() bool { return n.up && !n.paused }
+
+// deliver sends one message and counts it.
+func deliver[Q, A any](s *sim, from *simNode, addr, kind string, q Q, handle func(*simNode, Q) (A, error)) (A, error) {
+	var none A
+	s.sent[kind]++
+	to := s.byAddr[addr]
+	if !to.reachable() || s.side[to.vm.Name()] != s.side[from.vm.Name()] {
+		return none, errCut
+	}
+	return handle(to, q)
+}
+
+// step advances the clock by one tick of the relay and runs what is due, in
+// random order.
+func (s *sim) step() {
+	s.clock.Advance(relay.TickInterval)
+	s.plat.tick()
+	for _, i := range s.rng.Perm(len(s.names)) {
+		if n := s.nodes[s.names[i]]; n.reachable() {
+			n.relay.Tick()
+			n.member.Tick()
+		}
+	}
+	s.drain()
+}
+
+// drain runs the queued tasks; those of paused nodes wait until they resume.
+func (s *sim) drain() {
+	var held []simTask
+	for len(s.queue) > 0 {
+		i := s.rng.IntN(len(s.queue))
+		t := s.queue[i]
+		s.queue[i] = s.queue[len(s.queue)-1]
+		s.queue = s.queue[:len(s.queue)-1]
+		switch {
+		case !t.node.up:
+		case t.node.paused:
+			held = append(held, t)
+		default:
+			t.run(context.Background())
+		}
+	}
+	s.queue = held
+}
+
+func (s *sim) advance(d time.Duration) {
+	for ; d > 0; d -= relay.TickInterval {
+		s.step()
+	}
+}
+
+// listText returns the VM list without the entries that skip names.
+func (s *sim) listText(skip, leaving map[string]bool) []byte {
+	var doc listDocument
+	for _, name := range s.names {
+		f := s.nodes[name].vm.Fields()
+		f.Leaving = leaving[name]
+		if !skip[name] {
+			doc.VMs = append(doc.VMs, f)
+		}
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// simPlatform is the fake configuration service.
+type simPlatform struct {
+	sim *sim
+	// docs holds all revisions of each key, in order.
+	docs map[string][]platform.Value
+	up   bool
+	// stale makes the service answer as it was some revisions ago.
+	stale    int
+	watchers []simWatch
+	reads    int
+}
+
+type simWatch struct {
+	node  *simNode
+	store *relay.Store
+	key   string
+	after uint64
+	until time.Time
+	done  func(platform.Value, error)
+}
+
+func (p *simPlatform) publish(key string, text []byte) {
+	p.docs[key] = append(p.docs[key], platform.NewValue(key, uint64(len(p.docs[key])+1), text))
+}
+
+// current returns the value that the service shows now.
+func (p *simPlatform) current(key string) (platform.Value, bool) {
+	i := len(p.docs[key]) - 1 - p.stale
+	if i < 0 {
+		return platform.Value{}, false
+	}
+	return p.docs[key][i], true
+}
+
+func (p *simPlatform) reachable(n *simNode) bool {
+	return p.up && (p.sim.platSides == nil || p.sim.platSides[p.sim.side[n.vm.Name()]])
+}
+
+func (p *simPlatform) read(n *simNode, key string) (platform.Value, error) {
+	p.reads++
+	if !p.reachable(n) {
+		return platform.Value{}, &platform.UnavailableError{}
+	}
+	v, ok := p.current(key)
+	if !ok {
+		return platform.Value{}, &platform.NotFoundError{}
+	}
+	return v, nil
+}
+
+func (p *simPlatform) watch(n *simNode, store *relay.Store, key string, after uint64, done func(platform.Value, error)) {
+	p.reads++
+	until := p.sim.clock.Now().Add(30 * time.Second)
+	p.watchers = append(p.watchers, simWatch{node: n, store: store, key: key, after: after, until: until, done: done})
+}
+
+// tick ends the watches that have a result.
+func (p *simPlatform) tick() {
+	now := p.sim.clock.Now()
+	p.watchers = slices.DeleteFunc(p.watchers, func(w simWatch) bool {
+		v, ok := p.current(w.key)
+		var err error
+		switch {
+		case !p.reachable(w.node):
+			err = &platform.UnavailableError{}
+		case ok && v.Rev() > w.after:
+		case !now.Before(w.until):
+			err = platform.ErrUnchanged
+		default:
+			return false
+		}
+		p.sim.queue = append(p.sim.queue, simTask{node: w.node, run: func(context.Context) {
+			if w.node.store == w.store {
+				w.done(v, err)
+			}
+		}})
+		return true
+	})
+}
--- a/relay/message.go
+++ b/relay/message.go
@@ -57,6 +57,8 @@
 type PullRequest struct {
 	// From is the sender's VM name.
 	From string `json:"from"`
+	// Control is the sender's ip:port, for a receiver whose VM list lacks the sender.
+	Control string `json:"control"`
 	// Site names the overlay that is asked for.
 	Site string `json:"site"`
 	// Have holds the sender's revisions; the receiver pulls in turn where it is behind.
--- a/relay/store.go
+++ b/relay/store.go
@@ -177,9 +177,9 @@
 }
 
 // Parcel returns the document in force for a receiver that has revision have:
-// as a delta where that is the previous revision here, whole otherwise. It
-// returns false where the receiver is not behind.
-func (s *Store) Parcel(key string, have uint64) (Parcel, bool) {
+// as a delta where that is the previous revision here, whole otherwise or where
+// the receiver asks for it. It returns false where the receiver is not behind.
+func (s *Store) Parcel(key string, have uint64, whole bool) (Parcel, bool) {
 	s.mu.Lock()
 	sl, ok := s.slots[key]
 	if !ok || sl.current.rev <= have {
@@ -187,7 +187,7 @@
 		return Parcel{}, false
 	}
 	d, against := sl.current, Document{}
-	if have != 0 && sl.previous.rev == have {
+	if have != 0 && sl.previous.rev == have && !whole {
 		against = sl.previous
 	}
 	for _, p := range sl.parcels {
@@ -208,6 +208,17 @@
 	return p, true
 }
 
+// previous returns the revision that the one in force replaced. Most receivers
+// of a push have it.
+func (s *Store) previous(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sl, ok := s.slots[key]; ok {
+		return sl.previous.rev
+	}
+	return 0
+}
+
 // Refusal returns the last refused revision of a key.
 func (s *Store) Refusal(key string) Refusal {
 	s.mu.Lock()
