--- a/trial/arithmetic_test.go
+++ b/trial/arithmetic_test.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -123,3 +124,18 @@
 	require.Error(t, a.check(&standin.Result{}))
 	require.NoError(t, Account{}.check(&standin.Result{}))
 }
+
+// Guards against a sum over metrics whose names only begin alike, and against
+// names in /proc that hold spaces.
+func TestUsage(t *testing.T) {
+	const text = "# TYPE bytes counter\nbytes{direction=\"in\"} 10\nbytes{direction=\"out\"} 2.5\nbytes_total 100\nbytes 1e3\n"
+	require.InDelta(t, 1012.5, sumMetric([]byte(text), "bytes"), 1e-9)
+	require.Zero(t, sumMetric([]byte(text), "byte"))
+	_, err := processorTime(os.Getpid())
+	require.NoError(t, err)
+	memory, err := residentMemory(os.Getpid())
+	require.NoError(t, err)
+	require.Greater(t, memory, int64(1<<20))
+	line := extend(Size{Nodes: 10, Memory: 5}, Size{Nodes: 20, Memory: 7}, 100)
+	require.InDelta(t, 23, line.Memory, 1e-9)
+}
--- a/trial/measure.go
+++ b/trial/measure.go
@@ -86,8 +86,10 @@
 	Goodput float64 `json:"goodput"`
 	// Bookings is the share answered of those sent during the trigger.
 	Bookings float64 `json:"bookings"`
-	// Attempts is per external call.
+	// Attempts is per external call, from the nodes' counters, which include
+	// attempts that were refused. Runs is the same from the ledgers alone.
 	Attempts float64 `json:"attempts"`
+	Runs     float64 `json:"runs"`
 	// Wasted is the share of the busy slot time that brought no answer.
 	Wasted float64 `json:"wasted"`
 	// Recovery is in seconds, absent where goodput did not come back.
@@ -171,16 +173,21 @@
 	res, ledgers, err := fleet.run(ctx, sc)
 	err = errors.Join(err, <-acted)
 	var stats standin.PlatformStats
+	var extra int
 	if err == nil {
 		stats, err = fleet.PlatformStats(ctx)
 	}
+	if err == nil {
+		extra, err = fleet.ExtraAttempts(ctx)
+	}
 	if err = errors.Join(err, fleet.Stop()); res == nil {
 		return nil, err
 	}
 	row := t.row(fleet, mode, res, sc, trigger)
 	row.Reads = stats.Peak
 	account := NewAccount(fleet.plan.Document, res.Roots, ledgers)
-	row.Attempts, row.Wasted = account.AttemptsPerRoot(), account.WastedShare()
+	row.Runs, row.Wasted = account.AttemptsPerRoot(), account.WastedShare()
+	row.Attempts = max(row.Runs, 1+float64(extra)/float64(max(1, account.External)))
 	row.Twice, row.Ran = len(account.Twice), len(account.Ran)
 	return row, errors.Join(err, account.check(res))
 }
--- a/trial/plan.go
+++ b/trial/plan.go
@@ -26,6 +26,8 @@
 	Zones []string
 	// PerZone is the number of backend servers of each service in each zone.
 	PerZone int
+	// Inline runs the backend servers in this process.
+	Inline bool
 	// Work is the service time per operation, as "service/operation".
 	Work map[string]time.Duration
 	// Spread is the largest relative deviation of the service time.
--- /dev/null
+++ b/trial/usage.go
@@ -0,0 +1,83 @@
+package trial
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// clockTick is the unit of processor time in /proc on Linux.
+const clockTick = 10 * time.Millisecond
+
+// processorTime returns the time that a process used, user and system.
+func processorTime(pid int) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, eris.Wrap(err, "read processor time")
+	}
+	// The second field is the program's name in parentheses and may hold
+	// spaces. User and system time are fields 14 and 15.
+	fields := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
+	if len(fields) < 13 {
+		return 0, eris.Errorf("/proc/%d/stat: %d fields after the name", pid, len(fields))
+	}
+	var ticks time.Duration
+	for _, f := range fields[11:13] {
+		n, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return 0, eris.Wrap(err, "read processor time")
+		}
+		ticks += time.Duration(n)
+	}
+	return ticks * clockTick, nil
+}
+
+// residentMemory returns the memory of a process in bytes.
+func residentMemory(pid int) (int64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, eris.Wrap(err, "read memory")
+	}
+	fields := strings.Fields(string(b))
+	if len(fields) < 2 {
+		return 0, eris.Errorf("/proc/%d/statm: %q", pid, b)
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize()), eris.Wrap(err, "read memory")
+}
+
+// metric returns the sum of all series of a metric of a node.
+func (s *Server) metric(ctx context.Context, name string) (float64, error) {
+	body, err := request(ctx, http.MethodGet, "http://"+s.Operator+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	return sumMetric(body, name), nil
+}
+
+// sumMetric adds the values of all series of a metric in the text format.
+func sumMetric(body []byte, name string) float64 {
+	total := 0.0
+	for lines := bufio.NewScanner(bytes.NewReader(body)); lines.Scan(); {
+		line := lines.Text()
+		at := strings.LastIndexByte(line, ' ')
+		if at < 0 {
+			continue
+		}
+		if series, _, _ := strings.Cut(line[:at], "{"); series != name {
+			continue
+		}
+		if v, err := strconv.ParseFloat(line[at+1:], 64); err == nil {
+			total += v
+		}
+	}
+	return total
+}
