--- a/member/state.go
+++ b/member/state.go
@@ -25,6 +25,9 @@
 	Service string
 	Zone    string
 	Control string
+	// Floor is set in answers to hello and beat: the sequence above which the
+	// answering node accepts attempts of the asking process.
+	Floor uint64
 }
 
 // stateWire is the JSON form. Names are short because beats are the largest
@@ -38,13 +41,14 @@
 	Service string `json:"service,omitempty"`
 	Zone    string `json:"zone,omitempty"`
 	Control string `json:"control,omitempty"`
+	Floor   uint64 `json:"floor,omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
 func (s State) MarshalJSON() ([]byte, error) {
 	return json.Marshal(stateWire{
 		From: s.From.String(), Rev: s.Revs.Pair().String(), VMs: s.Revs.VMs, Load: s.Load.String(),
-		Leaving: s.Leaving, Service: s.Service, Zone: s.Zone, Control: s.Control,
+		Leaving: s.Leaving, Service: s.Service, Zone: s.Zone, Control: s.Control, Floor: s.Floor,
 	})
 }
 
@@ -79,7 +83,7 @@
 	}
 	*s = State{
 		From: from, Revs: relay.Revs{Base: rev.Base(), Overlay: rev.Overlay(), VMs: w.VMs}, Load: load,
-		Leaving: w.Leaving, Service: w.Service, Zone: w.Zone, Control: w.Control,
+		Leaving: w.Leaving, Service: w.Service, Zone: w.Zone, Control: w.Control, Floor: w.Floor,
 	}
 	return nil
 }
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -50,7 +50,7 @@
 // Pick returns the VM for the next attempt of a call to a service and counts the
 // attempt as in flight there until Report. VMs in tried are chosen again only
 // where no other is left. The error is a *frame.OutcomeError with NotRun and
-// ReasonService: no VM serves the service, or all of them are leaving.
+// ReasonDown where no VM serves the service, ReasonLeaving where all are leaving.
 func (c *Chooser) Pick(service string, tried []string) (board.VM, error) {
 	vms := c.board.Members().Service(service)
 	// A peer that says it is leaving between the look and the count makes
@@ -67,9 +67,9 @@
 		}
 	}
 	if len(vms) == 0 {
-		return board.VM{}, frame.Refuse(frame.ReasonService, "no VM serves "+service)
+		return board.VM{}, frame.Refuse(frame.ReasonDown, "no VM serves "+service)
 	}
-	return board.VM{}, frame.Refuse(frame.ReasonService, "every VM of "+service+" is leaving")
+	return board.VM{}, frame.Refuse(frame.ReasonLeaving, "every VM of "+service+" is leaving")
 }
 
 // enter counts an attempt at a peer, unless the peer is leaving.
