Give an unavailable service its own reasons

Cause: a service whose VMs all leave was refused with reason 'service', which callers get as 404, as if the service did not exist. Under load the stand-in's slot test saw the request of a closed connection take a slot. Ruled out: a change of the HTTP status alone, because the reason is what operators read. Both expectations stay exact.

--- a/route/route_test.go
+++ b/route/route_test.go
@@ -142,7 +142,7 @@
 		var refusal *frame.OutcomeError
 		require.True(t, errors.As(err, &refusal))
 		require.Equal(t, frame.NotRun, refusal.Outcome())
-		require.Equal(t, frame.ReasonService, refusal.Reason())
+		require.Equal(t, frame.ReasonLeaving, refusal.Reason())
 		return
 	}
 	require.NoError(t, err)
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -66,6 +66,9 @@
 
 	leaveQueue()
 	require.Error(t, <-done)
+	// The server notices a closed connection later than the client; until then
+	// the request would still take the next free slot.
+	require.Eventually(t, func() bool { return b.slots.inflight() == 3 }, patience, time.Millisecond)
 	clock.Advance(500 * time.Millisecond)
 	hangUp()
 	require.Error(t, <-done)
