level: Add the table of levels learned from answers

Cause: an entry node sheds a call before any work is done for it, so it needs the admission levels of the services on the declared path. Change: package level with Observe, ObserveFrom, Path, Strictest, Admit and View. Recent answers vote; a level applies where 60% of the recency-weighted votes are at or below it, and one server has at most 4 of 16 votes. Probes are 1/64 of the calls above the level, only of the class that is admitted next. After: they pass.

--- /dev/null
+++ b/level/table_test.go
@@ -0,0 +1,110 @@
+package level
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/frame"
+)
+
+func target(t testing.TB, name string) frame.Target {
+	out, err := frame.ParseTarget(name)
+	require.NoError(t, err)
+	return out
+}
+
+const (
+	low  = frame.Level(1<<8 | 40)
+	open = frame.OpenLevel
+)
+
+// Guards against one bad server shedding for all, a level that outlives the
+// overload, and one that a single late answer opens.
+func TestCombine(t *testing.T) {
+	type answer struct {
+		server string
+		level  frame.Level
+		times  int
+	}
+	cases := map[string]struct {
+		answers []answer
+		wait    time.Duration
+		want    frame.Level
+	}{
+		"nothing known":               {nil, 0, open},
+		"one server overloaded":       {[]answer{{"a", low, 4}}, 0, low},
+		"one bad of three":            {[]answer{{"a", open, 4}, {"b", open, 4}, {"c", low, 50}}, 0, open},
+		"two of four, tie":            {[]answer{{"a", open, 4}, {"b", open, 4}, {"c", low, 9}, {"d", low, 9}}, 0, open},
+		"three bad of four":           {[]answer{{"a", open, 4}, {"b", low, 4}, {"c", low, 4}, {"d", low, 4}}, 0, low},
+		"one open answer, unnamed":    {[]answer{{"", low, 15}, {"", open, 1}}, 0, low},
+		"open answers bring it back":  {[]answer{{"", low, 16}, {"", open, 9}}, 0, open},
+		"no answers for a second":     {[]answer{{"a", low, 4}}, time.Second, low},
+		"no answers, rises by ranks":  {[]answer{{"a", low, 4}}, 1200 * time.Millisecond, low + 2*riseRanks},
+		"no answers, open after 5 s":  {[]answer{{"a", low, 4}}, 5 * time.Second, open},
+		"a level out of range is cut": {[]answer{{"a", open + 9, 1}}, 0, open},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			table := NewTable(Options{Clock: clock})
+			for _, a := range c.answers {
+				for range a.times {
+					clock.Advance(time.Millisecond)
+					table.ObserveFrom(a.server, target(t, "lanefinder/search"), a.level)
+				}
+			}
+			clock.Advance(c.wait)
+			path := []frame.Target{target(t, "ladder/read"), target(t, "lanefinder/search")}
+			require.Equal(t, c.want, table.Path(path))
+		})
+	}
+}
+
+// Guards against probes that are missing, that exceed their share, or that are
+// spent on calls which the level admits.
+func TestProbes(t *testing.T) {
+	table := NewTable(Options{Clock: clockwork.NewFakeClock()})
+	path := []frame.Target{target(t, "bookings/book"), target(t, "ladder/read")}
+	table.Observe(path[0], frame.NewLevel(2, 0))
+	table.Observe(path[1], low)
+	for i := range 6400 {
+		require.True(t, table.Admit(low, path), "call %d at the level", i)
+		table.Admit(low+1, path)
+	}
+	require.Equal(t, uint64(100), table.View().Probes)
+	require.Equal(t, uint64(6300), table.View().Shed)
+	strictest, l := table.Strictest(path)
+	require.Equal(t, path[1], strictest)
+	require.Equal(t, low, l)
+}
+
+// Guards against a table that grows with the operations ever seen.
+func TestBounded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := NewTable(Options{Clock: clock})
+	for i := range maxRows + 100 {
+		table.Observe(target(t, fmt.Sprintf("s/op-%d", i)), low)
+	}
+	require.Len(t, table.View().Rows, maxRows)
+	clock.Advance(unused)
+	table.Observe(target(t, "ladder/read"), open)
+	require.Len(t, table.View().Rows, 1)
+}
+
+// Shows the cost for an entry node with a declared path of 14 operations.
+func BenchmarkAdmit(b *testing.B) {
+	table := NewTable(Options{})
+	var path []frame.Target
+	for i := range 14 {
+		path = append(path, target(b, fmt.Sprintf("s-%d/read", i)))
+		table.Observe(path[i], open)
+	}
+	for b.Loop() {
+		table.Observe(path[0], open)
+		table.Admit(low, path)
+	}
+}
