--- a/admit/limit.go
+++ b/admit/limit.go
@@ -49,8 +49,6 @@
 	// included.
 	concurrency int
 	ok          bool
-<<<<<<< HEAD
-=======
 }
 
 // use says how the limit was used since the last tick.
@@ -60,7 +58,6 @@
 	// pressed says that many calls of class 0 are queued, so that a lower limit
 	// would cost them.
 	pressed bool
->>>>>>> admit
 }
 
 // Limit is the concurrency limit of one backend server. An algorithm sets the
--- a/admit/limit_test.go
+++ b/admit/limit_test.go
@@ -6,11 +6,8 @@
 	"strings"
 	"testing"
 	"time"
-<<<<<<< HEAD
-=======
 
 	"github.com/stretchr/testify/require"
->>>>>>> admit
 )
 
 // scenario is one disturbance of the comparison of limit algorithms; the
@@ -96,11 +93,7 @@
 
 // Guards against a default algorithm that loses throughput in a slow-down or
 // does not find missing slots. The table is the source of docs/decisions/0001-limit.md.
-<<<<<<< HEAD
-func TestCompareLimits(t *testing.T) {
-=======
 func BenchmarkLimits(b *testing.B) {
->>>>>>> admit
 	var table strings.Builder
 	table.WriteString("| slots | scenario | algorithm | goodput | worst second | class 0 | inner wait (median, last 5 s) | limit at end |\n")
 	sizes := []struct {
@@ -110,19 +103,12 @@
 	for _, size := range sizes {
 		for _, s := range scenarios(size.slots, size.mean) {
 			for _, a := range []Algorithm{AlgorithmFixed, AlgorithmAIMD, AlgorithmGradient, AlgorithmProbe} {
-<<<<<<< HEAD
-				f := compare(t, a, s)
-=======
 				f := compare(b, a, s)
->>>>>>> admit
 				fmt.Fprintf(&table, "| %d | %s | %s | %.1f%% | %.1f%% | %.1f%% | %s | %d |\n", size.slots, s.name, a,
 					100*f.goodput, 100*f.worst, 100*f.first, f.inner.Round(100*time.Microsecond), f.limit)
 			}
 		}
 	}
-<<<<<<< HEAD
-	t.Log("\n" + table.String())
-=======
 	b.Log("\n" + table.String())
 }
 
@@ -138,5 +124,4 @@
 			require.GreaterOrEqual(t, f.goodput, 0.95)
 		}
 	}
->>>>>>> admit
 }
--- a/admit/model_test.go
+++ b/admit/model_test.go
@@ -42,11 +42,8 @@
 	service         time.Duration
 	// stall is how long the call waits on its dependency.
 	stall time.Duration
-<<<<<<< HEAD
-=======
 	// queued is the time between arrival and admission.
 	queued time.Duration
->>>>>>> admit
 	// ended is when it was answered or refused.
 	ended  time.Duration
 	reason frame.Reason
@@ -77,12 +74,8 @@
 	inner   []*modelCall
 	pending []*modelCall
 	calls   []*modelCall
-<<<<<<< HEAD
-	// admitted is called at each admission.
-=======
 	// entry is the entry node: a call for which it returns false is shed there.
 	entry    func(*modelCall) bool
->>>>>>> admit
 	admitted func(*modelCall)
 	refused  func(*modelCall)
 	levels   []frame.Level
@@ -90,12 +83,9 @@
 	queued   []int
 }
 
-<<<<<<< HEAD
-=======
 // shedAtEntry is the reason of calls that the model's entry node sheds.
 const shedAtEntry = frame.Reason("entry")
 
->>>>>>> admit
 const modelSeed = 20261204
 
 func newModel(t testing.TB, o Options, slots int, service time.Duration) *model {
@@ -108,10 +98,7 @@
 		slots: slots, service: service,
 		factor:   func(time.Duration) float64 { return 1 },
 		load:     func(time.Duration) float64 { return 1 },
-<<<<<<< HEAD
-=======
 		entry:    func(*modelCall) bool { return true },
->>>>>>> admit
 		admitted: func(*modelCall) {}, refused: func(*modelCall) {},
 	}
 	m.make = m.mixed(0.1, 0.4)
@@ -171,13 +158,10 @@
 
 func (m *model) offer(c *modelCall) {
 	m.calls = append(m.calls, c)
-<<<<<<< HEAD
-=======
 	if !m.entry(c) {
 		c.reason, c.ended = shedAtEntry, m.now
 		return
 	}
->>>>>>> admit
 	ticket, e, refusal := m.gate.offer(c.Call)
 	switch {
 	case refusal != nil:
@@ -195,12 +179,9 @@
 
 // collect takes up queued calls that the gate settled in the last step.
 func (m *model) collect() {
-<<<<<<< HEAD
-=======
 	if len(m.pending) == m.gate.queue.Len() {
 		return
 	}
->>>>>>> admit
 	kept := m.pending[:0]
 	var granted []*modelCall
 	for _, c := range m.pending {
@@ -225,10 +206,7 @@
 }
 
 func (m *model) serve(c *modelCall) {
-<<<<<<< HEAD
-=======
 	c.queued = m.now - c.start
->>>>>>> admit
 	m.admitted(c)
 	c.inner = m.now
 	if m.busy >= m.slots {
--- a/admit/probe.go
+++ b/admit/probe.go
@@ -31,15 +31,12 @@
 	// pause doubles each time.
 	probePause    = 2 * time.Second
 	probePauseMax = 30 * time.Second
-<<<<<<< HEAD
-=======
 	// probeRest is the least pause in lengths of the trial before, because a
 	// trial of a slow server takes long.
 	probeRest = 10
 	// probeBound is how many ticks in full use precede a trial downwards, so that
 	// a load near the limit does not meet a lower one.
 	probeBound = 5
->>>>>>> admit
 	// probeGiveUp is how many ticks without full use end a trial.
 	probeGiveUp = 5
 	// probeForget is how many ticks without full use it takes until a limit
@@ -88,14 +85,9 @@
 	// upwards goes first, so that it checks each step down.
 	nextUp, nextDown time.Time
 	pause            time.Duration
-<<<<<<< HEAD
-	// free counts the ticks in a row in which the limit did not bind.
-	free int
-=======
 	// free and bound count the ticks in a row in which the limit did not bind or
 	// did.
 	free, bound int
->>>>>>> admit
 }
 
 func newProbe(l *Limit) {
@@ -184,11 +176,7 @@
 		p.nextUp = now
 		p.pause = probePause
 	default:
-<<<<<<< HEAD
-		p.nextDown = now.Add(p.pause)
-=======
 		p.nextDown = now.Add(max(p.pause, probeRest*now.Sub(p.began)))
->>>>>>> admit
 		p.pause = min(2*p.pause, probePauseMax)
 	}
 	p.limit.set(p.base)
@@ -200,21 +188,13 @@
 	p.limit.set(p.base)
 }
 
-<<<<<<< HEAD
-func (p *probe) tick(now time.Time, full bool) {
-	if !full {
-=======
 func (p *probe) tick(now time.Time, use use) {
 	if !use.full {
->>>>>>> admit
 		p.relax()
 		return
 	}
 	p.free = 0
-<<<<<<< HEAD
-=======
 	p.bound++
->>>>>>> admit
 	if p.lo != nil || p.own == 0 {
 		return
 	}
@@ -222,11 +202,7 @@
 	switch {
 	case hi < math.Floor(p.limit.ceiling) && !now.Before(p.nextUp):
 		hi = math.Floor(min(max(p.base*(1+probeStep), p.base+1), p.limit.ceiling))
-<<<<<<< HEAD
-	case lo > 1 && !now.Before(p.nextDown):
-=======
 	case lo > 1 && !use.pressed && p.bound >= probeBound && !now.Before(p.nextDown):
->>>>>>> admit
 		lo = math.Floor(min(p.base*(1-probeStep), p.base-1))
 	default:
 		return
@@ -236,15 +212,6 @@
 	p.enter(now, true)
 }
 
-<<<<<<< HEAD
-// relax lets a limit that does not bind return to the slots, so that an old
-// verdict does not meet the next overload.
-func (p *probe) relax() {
-	p.free++
-	if p.lo != nil && p.free >= probeGiveUp {
-		p.abort()
-	}
-=======
 // press ends a trial downwards; the pause keeps the next one away.
 func (p *probe) press(now time.Time) bool {
 	if p.lo == nil || float64(p.lo.concurrency) >= math.Floor(p.base) {
@@ -263,7 +230,6 @@
 	if p.lo != nil && p.free >= probeGiveUp {
 		p.abort()
 	}
->>>>>>> admit
 	slots := float64(p.limit.slots)
 	if p.free >= probeForget && p.base < slots {
 		p.limit.set(min(p.base*probeRelax, slots))
--- a/level/table.go
+++ b/level/table.go
@@ -125,29 +125,20 @@
 }
 
 // Admit reports whether a call of the priority passes the levels of the
-<<<<<<< HEAD
-// targets. A bounded part of the calls above the level passes as probes.
-func (t *Table) Admit(p frame.Level, targets []frame.Target) bool {
-	if t.Path(targets).Admits(p) {
-=======
 // targets. A bounded part of the calls just above the level passes as probes:
 // those of the class that the level would admit next. Probes of classes below
 // it could be served while more important calls are shed.
 func (t *Table) Admit(p frame.Level, targets []frame.Target) bool {
 	l := t.Path(targets)
 	if l.Admits(p) {
->>>>>>> admit
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-<<<<<<< HEAD
-=======
 	if p.Class() != (l + 1).Class() {
 		t.shed++
 		return false
 	}
->>>>>>> admit
 	t.credit += t.share
 	if t.credit >= 1 {
 		t.credit--
