Send calls through the HTTP transport directly and cache metrics by key

Cause: an allocation profile of one call over an entry and a node showed header copies made for redirects and cookies, which calls between nodes never use, and a formatted label string per call. Ruled out: HTTP/2 between nodes, which would change connection handling; the profile shows net/http's header parsing as the largest remaining part. Change: peer.Transport sends through http.Transport; operator.Metrics caches by a struct key; ids are encoded without fmt.

--- a/backend/client.go
+++ b/backend/client.go
@@ -17,8 +17,13 @@
 	"dogwoodhead/peer"
 )
 
-// dialTimeout bounds the opening of a loopback connection.
-const dialTimeout = 250 * time.Millisecond
+const (
+	// dialTimeout bounds the opening of a loopback connection.
+	dialTimeout = 250 * time.Millisecond
+	// idleConns is how many idle connections are kept: more than the slots of
+	// any backend server, so that a connection is opened once and not per call.
+	idleConns = 1024
+)
 
 // ClientOptions configures a Client. All fields are required.
 type ClientOptions struct {
@@ -34,20 +39,17 @@
 // Client passes calls to the backend server.
 type Client struct {
 	o    ClientOptions
-	http *http.Client
+	http peer.Transport
 }
 
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
-	return &Client{o: o, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 1024,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{o: o, http: peer.Transport{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}}
 }
 
 // Close drops idle connections.
--- a/frame/context.go
+++ b/frame/context.go
@@ -1,6 +1,8 @@
 package frame
 
 import (
+	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -35,7 +37,11 @@
 }
 
 // String returns the id as 16 hex digits.
-func (id ID) String() string { return fmt.Sprintf("%016x", uint64(id)) }
+func (id ID) String() string {
+	var raw [8]byte
+	binary.BigEndian.PutUint64(raw[:], uint64(id))
+	return hex.EncodeToString(raw[:])
+}
 
 // ParseID parses the 16 hex digits that String writes.
 func ParseID(s string) (ID, error) {
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -20,10 +20,27 @@
 	mu sync.Mutex
 	// tenants holds at most maxTenants names.
 	tenants map[string]bool
-	// inbound and entries cache the metrics by label, because formatting the
-	// full name costs more than a call should pay.
-	inbound sync.Map
-	entries sync.Map
+	// counters, durations and others cache the metrics by what their labels are
+	// made of, because formatting a full name costs more than a call should pay.
+	counters  cache[outcomeKey, metrics.Counter]
+	durations cache[durationKey, metrics.Histogram]
+	others    cache[string, metrics.Counter]
+}
+
+// outcomeKey names one counter of calls.
+type outcomeKey struct {
+	entry   bool
+	target  frame.Target
+	class   string
+	outcome frame.Outcome
+	reason  frame.Reason
+}
+
+// durationKey names one histogram of call times.
+type durationKey struct {
+	metric string
+	// label and value are the label that is not class.
+	label, value, class string
 }
 
 // NewMetrics returns an empty set.
@@ -31,31 +48,48 @@
 
 // Inbound records a call that another node sent to this node's backend server.
 func (m *Metrics) Inbound(t frame.Target, class string, o frame.Outcome, r frame.Reason, took time.Duration) {
-	labels := fmt.Sprintf(`{service=%q,operation=%q,class=%q,outcome=%q,reason=%q}`, t.Service(), t.Operation(), class, o, r)
-	counter(&m.inbound, "dogwood_inbound_total"+labels).Inc()
+	m.count(outcomeKey{target: t, class: class, outcome: o, reason: r})
 	if o == frame.Answered {
-		histogram(&m.inbound, fmt.Sprintf(`dogwood_inbound_duration_seconds{service=%q,class=%q}`, t.Service(), class)).Update(took.Seconds())
+		m.observe(durationKey{metric: "dogwood_inbound_duration_seconds", label: "service", value: t.Service(), class: class}, took)
 	}
 }
 
 // Entry records a call from outside.
 func (m *Metrics) Entry(t frame.Target, caller, class string, o frame.Outcome, r frame.Reason, took time.Duration) {
-	labels := fmt.Sprintf(`{service=%q,class=%q,outcome=%q,reason=%q}`, t.Service(), class, o, r)
-	counter(&m.entries, "dogwood_entry_total"+labels).Inc()
+	m.count(outcomeKey{entry: true, target: t, class: class, outcome: o, reason: r})
 	if o != frame.Answered {
 		return
 	}
-	histogram(&m.entries, fmt.Sprintf(`dogwood_entry_duration_seconds{service=%q,class=%q}`, t.Service(), class)).Update(took.Seconds())
-	histogram(&m.entries, fmt.Sprintf(`dogwood_caller_duration_seconds{caller=%q}`, m.tenant(caller))).Update(took.Seconds())
+	m.observe(durationKey{metric: "dogwood_entry_duration_seconds", label: "service", value: t.Service(), class: class}, took)
+	m.observe(durationKey{metric: "dogwood_caller_duration_seconds", label: "caller", value: m.tenant(caller), class: class}, took)
 }
 
 // Attempt records an attempt after the first.
 func (m *Metrics) Attempt(t frame.Target) {
-	counter(&m.entries, fmt.Sprintf(`dogwood_extra_attempts_total{service=%q}`, t.Service())).Inc()
+	m.Count(`dogwood_extra_attempts_total{service="` + t.Service() + `"}`)
 }
 
-// Count adds one to a counter without labels.
-func (m *Metrics) Count(name string) { counter(&m.entries, name).Inc() }
+func (m *Metrics) count(k outcomeKey) {
+	m.counters.get(k, func() *metrics.Counter {
+		name := "dogwood_inbound_total"
+		if k.entry {
+			name = "dogwood_entry_total"
+		}
+		return metrics.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,operation=%q,class=%q,outcome=%q,reason=%q}`,
+			name, k.target.Service(), k.target.Operation(), k.class, k.outcome, k.reason))
+	}).Inc()
+}
+
+func (m *Metrics) observe(k durationKey, took time.Duration) {
+	m.durations.get(k, func() *metrics.Histogram {
+		return metrics.GetOrCreateHistogram(fmt.Sprintf(`%s{%s=%q,class=%q}`, k.metric, k.label, k.value, k.class))
+	}).Update(took.Seconds())
+}
+
+// Count adds one to a counter by its full name.
+func (m *Metrics) Count(name string) {
+	m.others.get(name, func() *metrics.Counter { return metrics.GetOrCreateCounter(name) }).Inc()
+}
 
 // tenant returns the label of a caller.
 func (m *Metrics) tenant(caller string) string {
@@ -84,20 +118,16 @@
 	}, s)
 }
 
-func counter(cache *sync.Map, name string) *metrics.Counter {
-	if c, ok := cache.Load(name); ok {
-		return c.(*metrics.Counter)
-	}
-	c := metrics.GetOrCreateCounter(name)
-	cache.Store(name, c)
-	return c
+// cache holds metrics that were created once.
+type cache[K comparable, V any] struct {
+	rows sync.Map
 }
 
-func histogram(cache *sync.Map, name string) *metrics.Histogram {
-	if h, ok := cache.Load(name); ok {
-		return h.(*metrics.Histogram)
+// get returns the metric of a key and creates it at the first use.
+func (c *cache[K, V]) get(k K, create func() *V) *V {
+	if v, ok := c.rows.Load(k); ok {
+		return v.(*V)
 	}
-	h := metrics.GetOrCreateHistogram(name)
-	cache.Store(name, h)
-	return h
+	v, _ := c.rows.LoadOrStore(k, create())
+	return v.(*V)
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -68,7 +68,7 @@
 // Client sends attempts to peers over HTTP/1.1.
 type Client struct {
 	o    ClientOptions
-	http *http.Client
+	http Transport
 }
 
 // NewClient returns a client. Close it to drop idle connections.
@@ -76,16 +76,13 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext
 	}
-	return &Client{o: o, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         o.Dial,
-			MaxIdleConns:        0,
-			MaxIdleConnsPerHost: idleConnsPerPeer,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{o: o, http: Transport{&http.Transport{
+		DialContext:         o.Dial,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: idleConnsPerPeer,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}}
 }
 
 // Close drops idle connections.
