Detect paused peers and let a misreported drain end

Cause: calls sent to a paused or cut-off node waited for their deadline, and a backend server that once reported 'draining' by mistake was marked as leaving by its peers for as long as its process ran. Ruled out: a fixed timeout per attempt, because a service that is 10 times slower would then get every call twice; a peer's node answers a question also while its backend server is slow.

--- a/backend/monitor.go
+++ b/backend/monitor.go
@@ -171,7 +171,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.state == StateDraining {
-		return frame.ReasonLeaving
+		return frame.ReasonDraining
 	}
 	if !m.refused.IsZero() && m.o.Clock.Since(m.refused) < downFor {
 		return frame.ReasonDown
--- a/frame/outcome.go
+++ b/frame/outcome.go
@@ -53,8 +53,11 @@
 	ReasonExpired Reason = "expired"
 	// ReasonCancelled: the caller gave up.
 	ReasonCancelled Reason = "cancelled"
-	// ReasonLeaving: the node or its backend server is leaving.
+	// ReasonLeaving: the node takes no new work until its process ends.
 	ReasonLeaving Reason = "leaving"
+	// ReasonDraining: the backend server says that it drains. It may mislead, so
+	// this can end, unlike ReasonLeaving.
+	ReasonDraining Reason = "draining"
 	// ReasonBulkhead: too many calls already wait on a dependency.
 	ReasonBulkhead Reason = "bulkhead"
 	// ReasonRepeat: a repeat without a permit, or of a call that is not idempotent.
--- a/node/control.go
+++ b/node/control.go
@@ -151,6 +151,11 @@
 	return reply.From, err
 }
 
+// probe asks a VM's node for a sign of life in the background.
+func (c *control) probe(vm board.VM) {
+	c.workers.Submit(func(ctx context.Context) { _, _ = c.hello(ctx, vm) })
+}
+
 // introduce says hello to a VM's node in the background.
 func (c *control) introduce(vm board.VM) {
 	now := c.n.clock.Now()
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,7 @@
 	metrics   *operator.Metrics
 
 	client    *peer.Client
+	watch     *peer.Watch
 	forwarder *peer.Forwarder
 	server    *peer.Server
 	backend   *backend.Client
@@ -102,9 +103,10 @@
 		Clock: n.clock, Body: n.body,
 		Delay: func(zone string) time.Duration { return delays[zone] },
 	})
+	n.watch = peer.NewWatch(n.clock, n.board, n.control.probe, n.chooser.Suspect)
 	n.forwarder = peer.NewForwarder(peer.ForwarderOptions{
 		Clock: n.clock, Board: n.board, Client: n.client, Chooser: n.chooser, Levels: n.levels,
-		Sequencer: n.sequencer, Budgets: peer.NewBudgets(policy.DefaultRatio),
+		Watch: n.watch, Sequencer: n.sequencer, Budgets: peer.NewBudgets(policy.DefaultRatio),
 		Hello: n.control.hello, Introduce: n.control.introduce, Contact: n.control.contact,
 		Extra: n.metrics.Attempt, Random: rand.Float64,
 	})
--- a/node/run.go
+++ b/node/run.go
@@ -143,6 +143,7 @@
 			return
 		case <-t.Chan():
 			n.gate.Tick()
+			n.watch.Tick()
 			if n.board.Leaving() {
 				// The VM list said so; Member only marks the board.
 				n.gate.Close(frame.ReasonLeaving)
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -25,6 +26,8 @@
 	Chooser   *route.Chooser
 	Levels    *level.Table
 	Sequencer *once.Sequencer
+	// Watch notices silent peers.
+	Watch *Watch
 	// Budgets are the retry rules of the baselines.
 	Budgets *Budgets
 	// Hello asks a VM's node for its incarnation and introduces this process
@@ -138,7 +141,12 @@
 		return frame.Answer{}, err
 	}
 	id := f.o.Sequencer.Next(receiver)
-	reply, err := f.o.Client.Send(ctx, NewAttempt(vm, id, c, out.Request))
+	waiting, end := f.o.Watch.start(ctx, vm, func() bool { return out.Op.Idempotent() && out.Escrow.Held() > 0 })
+	reply, err := f.o.Client.Send(waiting, NewAttempt(vm, id, c, out.Request))
+	if err != nil && errors.Is(context.Cause(waiting), errSilent) {
+		err = frame.Lose(frame.ReasonTimeout, vm.Name()+" gives no sign of life")
+	}
+	end()
 	return f.book(out, vm, loan, reply, err)
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -138,7 +138,7 @@
 		Level:       level,
 		Load:        s.o.Gate.Load(),
 		Incarnation: s.o.Board.Self().Incarnation(),
-		Leaving:     s.o.Board.Leaving() || s.o.Unavailable() == frame.ReasonLeaving,
+		Leaving:     s.o.Board.Leaving(),
 		Rev:         s.o.Board.Rev(),
 	}
 }
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -103,6 +103,7 @@
 // void, key, owner, table), or leaves no time (late, expired, cancelled).
 var worths = map[frame.Reason]worth{
 	frame.ReasonLeaving:     now,
+	frame.ReasonDraining:    now,
 	frame.ReasonDial:        now,
 	frame.ReasonIncarnation: now,
 	frame.ReasonDuplicate:   now,
--- a/route/report.go
+++ b/route/report.go
@@ -53,7 +53,8 @@
 		return effectRefused
 	case frame.ReasonLeaving:
 		return effectLeaving
-	case frame.ReasonDial, frame.ReasonLost, frame.ReasonTimeout, frame.ReasonPartial, frame.ReasonDown:
+	case frame.ReasonDial, frame.ReasonLost, frame.ReasonTimeout, frame.ReasonPartial, frame.ReasonDown,
+		frame.ReasonDraining:
 		return effectFailed
 	}
 	return effectNone
--- a/route/start.go
+++ b/route/start.go
@@ -11,3 +11,13 @@
 		return p, true
 	})
 }
+
+// Suspect starts an avoidance of a VM that gives no sign of life, without
+// ending an attempt there.
+func (c *Chooser) Suspect(vm string) {
+	now := c.clock.Now()
+	drawn := c.float()
+	c.board.Peers().Update(vm, func(p board.Peer, ok bool) (board.Peer, bool) {
+		return avoid(p, failedAvoid, failedMax, now, drawn), ok
+	})
+}
