--- a/once/key.go
+++ b/once/key.go
@@ -37,21 +37,19 @@
 	return f.owner, nil
 }
 
-// plain returns the key without its mac.
-func (f fields) plain() string {
-	return f.owner.VM() + "/" + f.owner.Process().String() + "/" +
-		strconv.FormatInt(f.expiry.Milliseconds(), 10) + "/" + strconv.FormatUint(f.number, 16)
-}
-
 // encode returns the key of a call of t.
 func (f fields) encode(secret []byte, t frame.Target) string {
-	plain := f.plain()
+	plain := f.owner.VM() + "/" + f.owner.Process().String() + "/" +
+		strconv.FormatInt(f.expiry.Milliseconds(), 10) + "/" + strconv.FormatUint(f.number, 16)
 	return plain + "/" + mac(secret, plain, t)
 }
 
-// verify reports whether key is what encode made for a call of t.
-func (f fields) verify(secret []byte, t frame.Target, key string) bool {
-	return hmac.Equal([]byte(key), []byte(f.encode(secret, t)))
+// verify reports whether encode made the key for a call of t with this secret.
+// The mac covers the text as presented, so another spelling of the same numbers
+// does not pass.
+func verify(secret []byte, key string, t frame.Target) bool {
+	cut := strings.LastIndexByte(key, '/')
+	return cut >= 0 && hmac.Equal([]byte(key[cut+1:]), []byte(mac(secret, key[:cut], t)))
 }
 
 func mac(secret []byte, plain string, t frame.Target) string {
--- a/once/keys.go
+++ b/once/keys.go
@@ -149,7 +149,7 @@
 	if f.owner != k.o.Self {
 		return nil, frame.Answer{}, frame.Lose(frame.ReasonOwner, "the operation key belongs to another process")
 	}
-	if !f.verify(k.secret, t, key) {
+	if !verify(k.secret, key, t) {
 		return nil, frame.Answer{}, frame.Refuse(frame.ReasonKey, "the operation key was not issued for "+t.String())
 	}
 	e, first, err := k.find(f, digest)
--- a/once/recent.go
+++ b/once/recent.go
@@ -37,24 +37,18 @@
 	return &e.value
 }
 
-// add stores a key that is absent and returns its value. The row dropped for
-// it goes to drop first, so the caller computes value after calling room.
+// add stores a key that is absent and returns its value.
 func (r *recent[K, V]) add(key K, value V) *V {
-	r.room()
-	e := &row[K, V]{key: key, value: value}
-	r.rows[key] = e
-	r.link(e)
-	return &e.value
-}
-
-// room drops rows until another one fits.
-func (r *recent[K, V]) room() {
 	for len(r.rows) >= r.max {
 		last := r.head.prev
 		r.unlink(last)
 		delete(r.rows, last.key)
 		r.drop(last.key, &last.value)
 	}
+	e := &row[K, V]{key: key, value: value}
+	r.rows[key] = e
+	r.link(e)
+	return &e.value
 }
 
 func (r *recent[K, V]) link(e *row[K, V]) {
--- a/once/sequencer.go
+++ b/once/sequencer.go
@@ -79,6 +79,5 @@
 	if c := s.counts.get(receiver); c != nil {
 		return c
 	}
-	s.counts.room() // before floor is read, because it may raise it
 	return s.counts.add(receiver, count{last: s.floor})
 }
--- a/once/window.go
+++ b/once/window.go
@@ -126,7 +126,6 @@
 	if h := w.named.get(sender); h != nil {
 		return h
 	}
-	w.named.room() // before floor is read, because it may raise it
 	return w.named.add(sender, history{floor: w.floor, highest: w.floor})
 }
 
