Add scale, leaving and pause tests and benchmarks of control traffic

Cause: the bounds on platform reads, messages per change and control bytes have to be measured, and the state machine does not time the pull on contact.

Change: a fleet of up to 1,500 nodes is driven through start, rest, a change and an outage. A node reads its overlay at start even if a peer gave it the base; before, a reader of the base could wait for the first poll.

--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -193,6 +193,9 @@
 	var none A
 	s.sent[kind]++
 	to := s.byAddr[addr]
+	if to.vm.Zone() != from.vm.Zone() {
+		s.sent[kind+" to another zone"]++
+	}
 	if !to.reachable() || s.side[to.vm.Name()] != s.side[from.vm.Name()] {
 		return none, errCut
 	}
@@ -265,6 +268,8 @@
 	stale    int
 	watchers []simWatch
 	reads    int
+	// busiest is the largest number of reads within one second.
+	busiest, second int
 }
 
 type simWatch struct {
@@ -314,6 +319,10 @@
 // tick ends the watches that have a result.
 func (p *simPlatform) tick() {
 	now := p.sim.clock.Now()
+	if now.Sub(now.Truncate(time.Second)) < relay.TickInterval {
+		p.second = p.reads
+	}
+	p.busiest = max(p.busiest, p.reads-p.second)
 	p.watchers = slices.DeleteFunc(p.watchers, func(w simWatch) bool {
 		v, ok := p.current(w.key)
 		var err error
--- /dev/null
+++ b/peer/control_bench_test.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/frame"
+	"dogwoodhead/member"
+	"dogwoodhead/relay"
+)
+
+// Seconds between the messages of a node at rest, from packages member and relay.
+const (
+	beatSeconds  = 8.0
+	probeSeconds = 1.5
+)
+
+// BenchmarkControlBytes measures the bytes of control messages as the counters
+// see them, and what a node at rest sends and receives in a second when it has
+// as many peers as callers and no calls replace heartbeats.
+func BenchmarkControlBytes(b *testing.B) {
+	own := state("vm-0123")
+	own.Revs, own.Load = relay.Revs{Base: 1234, Overlay: 567, VMs: 89012}, frame.NewLoad(37, 110)
+	answer := func(context.Context, member.State) (member.State, error) { return own, nil }
+	set := metrics.NewSet()
+	server := NewControlServer(ControlServerOptions{Metrics: set, Handlers: Handlers{
+		Hello: answer, Beat: answer,
+		Leave: func(context.Context, member.State) error { return nil },
+		Push:  func(context.Context, relay.PushRequest) (relay.PushReply, error) { return relay.PushReply{}, nil },
+		Pull:  func(context.Context, relay.PullRequest) (relay.PullReply, error) { return relay.PullReply{}, nil },
+	}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	ctx, cancel := context.WithCancel(b.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	defer func() {
+		cancel()
+		require.NoError(b, <-done)
+	}()
+	client := NewControlClient(ControlClientOptions{Clock: clockwork.NewRealClock(), Metrics: metrics.NewSet()})
+	defer client.Close()
+	addr := listener.Addr().String()
+	both := func(f func() error) float64 {
+		const times = 100
+		require.NoError(b, f())
+		before := client.traffic.in.Get() + client.traffic.out.Get()
+		for range times {
+			require.NoError(b, f())
+		}
+		return float64(client.traffic.in.Get()+client.traffic.out.Get()-before) / times
+	}
+	beat := both(func() error { _, err := client.Beat(ctx, addr, own); return err })
+	request := relay.PullRequest{From: "vm-0123", Control: "10.12.34.56:7002", Site: "ogun-west", Have: own.Revs}
+	pull := both(func() error { _, err := client.Pull(ctx, addr, request); return err })
+	for _, peers := range []int{5, 19, 40} {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := client.Beat(ctx, addr, own)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(beat, "B/beat")
+			b.ReportMetric(pull, "B/probe")
+			b.ReportMetric(2*float64(peers)*beat/beatSeconds+2*pull/probeSeconds, "B/s-in-and-out")
+		})
+	}
+}
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -213,24 +213,14 @@
 
 // pickPeer returns a random VM, in turn of the own zone and of the others.
 func (r *Relay) pickPeer() (board.VM, bool) {
-	own := r.o.Self.VM().Zone()
+	r.choose()
 	r.far = !r.far
-	var near, far []board.VM
-	for v := range r.o.Members().All() {
-		switch {
-		case v.Name() == r.self():
-		case v.Zone() == own:
-			near = append(near, v)
-		default:
-			far = append(far, v)
-		}
-	}
-	from := near
-	if r.far && len(far) > 0 || len(near) == 0 {
-		from = far
+	from := r.near
+	if r.far && len(r.others) > 0 || len(r.near) == 0 {
+		from = r.others
 	}
 	if len(from) == 0 {
 		return board.VM{}, false
 	}
-	return from[r.rand.IntN(len(from))], true
+	return r.o.Members().Get(from[r.rand.IntN(len(from))])
 }
--- a/relay/read.go
+++ b/relay/read.go
@@ -30,9 +30,11 @@
 	// refreshRead bounds the reads of a refresh. The service responds in
 	// milliseconds, and a peer has to be asked within the same attempt.
 	refreshRead = 200 * time.Millisecond
-	// bootBackoff is the mean time between the reads of a node that still lacks
-	// a document. 1,500 such nodes make 300 reads a second for each key.
-	bootBackoff = 5 * time.Second
+	// A node that still lacks a document reads again after bootBackoff and a
+	// random part of bootSpread. 1,500 such nodes make 250 reads a second for
+	// each key.
+	bootBackoff = 3 * time.Second
+	bootSpread  = 6 * time.Second
 )
 
 // watch is the state of the watch of one key.
@@ -70,7 +72,8 @@
 	r.submit(func(ctx context.Context) { _ = r.readAll(ctx, []string{key}) })
 }
 
-// choose computes whether this node is a reader, once per VM list.
+// choose computes whether this node is a reader and whom it may probe, once per
+// VM list.
 func (r *Relay) choose() {
 	m := r.o.Members()
 	if m == r.readersOf {
@@ -79,9 +82,19 @@
 	r.readersOf = m
 	zone := r.o.Self.VM().Zone()
 	for _, key := range r.o.Store.Keys() {
-		names := Readers(byZone(m, key, r.o.Scope)[zone], key, r.o.Readers)
+		names := byZone(m, key, r.o.Scope)[zone].readers(key, r.o.Readers)
 		r.reading[key] = slices.Contains(names, r.self())
 	}
+	r.near, r.others = nil, nil
+	for v := range m.All() {
+		switch {
+		case v.Name() == r.self():
+		case v.Zone() == zone:
+			r.near = append(r.near, v.Name())
+		default:
+			r.others = append(r.others, v.Name())
+		}
+	}
 }
 
 // watched takes the result of a watch.
@@ -128,7 +141,7 @@
 		return
 	}
 	if missing := r.missing(); len(missing) > 0 {
-		r.bootRead = now.Add(r.around(bootBackoff))
+		r.bootRead = now.Add(bootBackoff + r.upTo(bootSpread))
 		r.submit(func(ctx context.Context) { _ = r.readAll(ctx, missing) })
 	}
 }
@@ -144,7 +157,7 @@
 	if revs.Base == 0 && !r.reading[KeyBase] {
 		out = append(out, KeyBase)
 	}
-	if key := r.o.Store.overlay; revs.Overlay == 0 && revs.Base == 0 && !r.reading[key] {
+	if key := r.o.Store.overlay; revs.Overlay == 0 && !r.overlayRead && !r.reading[key] {
 		out = append(out, key)
 	}
 	return out
@@ -157,6 +170,11 @@
 		r.counts.reads.Inc()
 		v, err := r.o.Read(ctx, key)
 		var missing *platform.NotFoundError
+		if key == r.o.Store.overlay && (err == nil || errors.As(err, &missing)) {
+			r.mu.Lock()
+			r.overlayRead = true
+			r.mu.Unlock()
+		}
 		switch {
 		case err == nil:
 			r.accept(NewDocument(key, v.Rev(), v.Bytes()), "")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,12 +80,18 @@
 	rand   *rand.Rand
 	// watches is keyed by document key.
 	watches map[string]*watch
-	// readersOf is the list that reading was computed for.
+	// readersOf is the list that reading, near and others were computed for.
 	readersOf *board.Members
 	// reading holds the keys that this node watches.
 	reading map[string]bool
+	// near and others are the VMs of the own zone and of the other zones,
+	// without this node.
+	near, others []string
 	// bootRead is when a node without documents reads the platform next.
 	bootRead time.Time
+	// overlayRead is set when the platform has answered a read of the overlay. A
+	// site without one must not be asked again and again.
+	overlayRead bool
 	// nextPoll, nextProbe and nextPull are when each may happen next.
 	nextPoll, nextProbe, nextPull time.Time
 	// far alternates: whether the next probe goes to another zone.
--- a/relay/tree.go
+++ b/relay/tree.go
@@ -22,51 +22,61 @@
 	defaultReaders = 3
 )
 
-// ranked is a VM with its hash value.
+// ranked is the name of a VM with its hash value.
 type ranked struct {
-	vm   board.VM
+	name string
 	hash uint64
 }
 
 // rank sorts VMs by the hash of their name with a seed, which is rendezvous
 // hashing: adding or removing a VM moves no other one.
-func rank(vms []board.VM, seed string) []ranked {
-	out := make([]ranked, 0, len(vms))
-	for _, v := range vms {
-		out = append(out, ranked{vm: v, hash: xxhash.Sum64String(seed + v.Name())})
+func rank(names []string, seed string) []ranked {
+	out := make([]ranked, 0, len(names))
+	for _, n := range names {
+		out = append(out, ranked{name: n, hash: xxhash.Sum64String(seed + n)})
 	}
 	slices.SortFunc(out, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.vm.Name(), b.vm.Name()))
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
 	})
 	return out
 }
 
+// group holds the names of the VMs of one zone that keep documents of a key.
+type group struct {
+	// all is sorted; staying lacks the VMs that are leaving.
+	all, staying []string
+}
+
 // byZone groups the VMs that keep documents of the key.
-func byZone(m *board.Members, key string, scope func(string, board.VM) bool) map[string][]board.VM {
-	zones := make(map[string][]board.VM)
+func byZone(m *board.Members, key string, scope func(string, board.VM) bool) map[string]*group {
+	zones := make(map[string]*group)
 	for v := range m.All() {
-		if scope == nil || scope(key, v) {
-			zones[v.Zone()] = append(zones[v.Zone()], v)
+		if scope != nil && !scope(key, v) {
+			continue
+		}
+		g, ok := zones[v.Zone()]
+		if !ok {
+			g = &group{}
+			zones[v.Zone()] = g
+		}
+		g.all = append(g.all, v.Name())
+		if !v.Leaving() {
+			g.staying = append(g.staying, v.Name())
 		}
 	}
 	return zones
 }
 
-// Readers returns the names of the VMs of one zone that watch a key: the count
+// readers returns the names of the VMs of one zone that watch a key: the count
 // highest by rendezvous hashing among those that are not leaving.
-func Readers(vms []board.VM, key string, count int) []string {
-	staying := make([]board.VM, 0, len(vms))
-	for _, v := range vms {
-		if !v.Leaving() {
-			staying = append(staying, v)
-		}
+func (g *group) readers(key string, count int) []string {
+	if g == nil {
+		return nil
 	}
-	var names []string
-	for _, r := range rank(staying, "reader/"+key+"/") {
-		if len(names) == count {
-			break
-		}
-		names = append(names, r.vm.Name())
+	first := rank(g.staying, "reader/"+key+"/")
+	names := make([]string, 0, count)
+	for _, r := range first[:min(count, len(first))] {
+		names = append(names, r.name)
 	}
 	return names
 }
@@ -109,15 +119,15 @@
 
 // zoneOrder returns the names of a zone's VMs in the order of the revision,
 // readers first.
-func zoneOrder(vms []board.VM, key, seed string, readers int) []string {
-	first := Readers(vms, key, readers)
-	order := make([]string, 0, len(vms))
-	var rest []string
-	for _, r := range rank(vms, seed) {
-		if slices.Contains(first, r.vm.Name()) {
-			order = append(order, r.vm.Name())
+func zoneOrder(g *group, key, seed string, readers int) []string {
+	first := g.readers(key, readers)
+	order := make([]string, 0, len(g.all))
+	rest := make([]string, 0, len(g.all))
+	for _, r := range rank(g.all, seed) {
+		if slices.Contains(first, r.name) {
+			order = append(order, r.name)
 		} else {
-			rest = append(rest, r.vm.Name())
+			rest = append(rest, r.name)
 		}
 	}
 	return append(order, rest...)
