--- a/cmd/dogwoodhead/node.go
+++ b/cmd/dogwoodhead/node.go
@@ -31,6 +31,7 @@
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			limitMemory()
 			return eris.Wrap(node.Run(ctx, s, version()), "run node")
 		},
 	}
