--- a/cmd/dogwoodhead/status.go
+++ b/cmd/dogwoodhead/status.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
+	"dogwoodhead/frame"
 	"dogwoodhead/operator"
 )
 
@@ -98,7 +99,7 @@
 		s := n.Status
 		revisions[s.Revision]++
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%s\n", s.VM, s.Service, s.Zone, s.Revision, s.VMs,
-			stateOf(s), s.Backend, s.Gate.Inflight, s.Gate.Queued, s.Gate.Limit, s.Gate.Level)
+			stateOf(s), s.Backend, s.Gate.Inflight, s.Gate.Queued, s.Gate.Limit, levelOf(s.Gate.Level))
 	}
 	t.Flush()
 	writeRevisions(w, revisions)
@@ -123,6 +124,14 @@
 	}
 }
 
+// levelOf names the level that sheds nothing.
+func levelOf(level string) string {
+	if level == frame.OpenLevel.String() {
+		return "open"
+	}
+	return level
+}
+
 func writeRevisions(w io.Writer, revisions map[string]int) {
 	if len(revisions) == 1 {
 		for rev := range revisions {
--- a/node/view.go
+++ b/node/view.go
@@ -118,7 +118,7 @@
 		{Check: "key", Pass: true, Detail: key},
 		{
 			Check: "level", Pass: level.Admits(priority) || f.Policy().Control() != policy.ControlFull,
-			Detail: fmt.Sprintf("the path sheds above %s (class.rank); this class has rank 0 to %d", level, frame.MaxRank),
+			Detail: levelDetail(level),
 		},
 		{
 			Check: "permits", Pass: true,
@@ -127,6 +127,13 @@
 	}
 }
 
+func levelDetail(l frame.Level) string {
+	if l == frame.OpenLevel {
+		return "no service on the path sheds calls"
+	}
+	return fmt.Sprintf("a service on the path sheds calls above class.rank %s; ranks are 0 to %d", l, frame.MaxRank)
+}
+
 func (n *Node) explainRoute(t frame.Target) operator.Step {
 	v := n.chooser.View(t.Service())
 	var ready, leaving, avoided int
