--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -56,6 +56,30 @@
 	}
 }
 
+// Guards against slots that stay idle below a shut level, and against class 0
+// being shed while calls of other classes could be admitted after it.
+func TestJudgeAtLevel(t *testing.T) {
+	g := NewGate(Options{Clock: clockwork.NewFakeClock(), Limits: Limits{Slots: 1, Queue: 4, Enabled: true}})
+	g.shed.level = frame.NewLevel(0, 100)
+	steps := []struct {
+		class, rank int
+		want        frame.Reason
+	}{
+		{2, 255, ""}, // takes the free slot
+		{1, 0, frame.ReasonLevel},
+		{0, 200, ""},
+		{0, 201, ""},
+		{0, 202, frame.ReasonLevel}, // class 0 fills half of the queue
+		{0, 100, ""},
+	}
+	for _, s := range steps {
+		reason, why := g.Explain(call(s.class, s.rank, time.Second))
+		require.Equal(t, s.want, reason, why)
+		_, _, refusal := g.offer(call(s.class, s.rank, time.Second))
+		require.Equal(t, s.want == "", refusal == nil)
+	}
+}
+
 // Shows the cost of the gate on the path of each call; the target is about a microsecond.
 func BenchmarkEnterLeave(b *testing.B) {
 	g := NewGate(Options{Limits: Limits{Slots: 50, Queue: 64, Share: 0.5, Enabled: true}})
--- a/admit/oracle_test.go
+++ b/admit/oracle_test.go
@@ -177,6 +177,7 @@
 	require.Equal(t, len(o.running), o.gate.inflight, "slots are conserved")
 	require.LessOrEqual(t, len(o.running), o.limits.Slots)
 	require.LessOrEqual(t, len(o.queue), o.limits.Queue)
+	require.False(t, o.closed && len(o.queue) > 0, "calls wait at a closed gate")
 	require.Equal(t, o.offered, o.settled+len(o.queue), "each call has one outcome")
 	require.Equal(t, o.waiting, o.gate.bulkhead.Waiting("ladder"))
 	select {
--- a/admit/overload_test.go
+++ b/admit/overload_test.go
@@ -135,6 +135,23 @@
 	}
 }
 
+// Guards against a level that stays shut although the server is idle, because
+// the capacity was measured while it was slow.
+func TestLevelOpensWhenIdle(t *testing.T) {
+	s := newShedder()
+	for range 10 {
+		for r := range 256 {
+			s.arrive(frame.NewLevel(r%3, r))
+		}
+		s.tick(period{elapsed: 100 * time.Millisecond, completed: 20, use: 1, overloaded: true})
+	}
+	require.Less(t, s.level, frame.NewLevel(1, 0), "level under overload")
+	for range 5 {
+		s.tick(period{elapsed: 100 * time.Millisecond, completed: 20, use: 0.1})
+	}
+	require.Equal(t, frame.OpenLevel, s.level)
+}
+
 // Guards against an entry node and a gate that swing against each other: the
 // level opens, a burst arrives, the level shuts.
 func TestLevelHolds(t *testing.T) {
@@ -150,7 +167,7 @@
 	}
 	carried := m.capacity() * (relief - onset - time.Second).Seconds()
 	t.Logf("refused by the gate: %.3f of what it carries", float64(local)/carried)
-	require.Less(t, float64(local), 0.2*carried, "refused by the gate instead of the entry node")
+	require.Less(t, float64(local), 0.17*carried, "refused by the gate instead of the entry node")
 }
 
 // Guards against a limit that shrinks when the backend server slows down
--- a/admit/shedder.go
+++ b/admit/shedder.go
@@ -18,11 +18,8 @@
 	idleMemory = 0.7
 	// rateWeight is the weight of a tick in the completion rate.
 	rateWeight = 0.3
-	// completedMin is the least number of completions in a tick from which the
-	// capacity is derived.
-	completedMin = 5
-	// useIdle is the use of the limit below which nothing justifies shedding,
-	// whatever the estimates say.
+	// useIdle is the use of the limit below which the capacity is not derived
+	// from it and nothing justifies shedding, whatever the estimates say.
 	useIdle = 0.3
 	// levelFloor keeps the most important ranks of class 0 admitted at any load.
 	levelFloor = frame.Level(15)
@@ -30,10 +27,6 @@
 	// overload, and its square while the queue is clear. It is above 1, because
 	// an idle slot costs goodput and refusing a call too many costs little.
 	levelMargin = 1.05
-	// firstAllowance is the part of the capacity that arrivals of class 0 may
-	// reach before the level falls below its end. Within it the queue decides,
-	// because the capacity is known to a few percent only.
-	firstAllowance = 1.1
 	// Rises per tick, in ranks, by use of the limit. The slow step lets the
 	// arrivals of newly admitted ranks be seen before the next.
 	riseFull = 16
@@ -129,7 +122,7 @@
 		s.rate[i] = blend
 		s.seen[i] = 0
 	}
-	if p.use == 0 || p.completed < completedMin && p.use < useIdle {
+	if p.use < useIdle {
 		return
 	}
 	sample := float64(p.completed) / seconds / p.use
@@ -145,13 +138,9 @@
 	if !p.overloaded {
 		budget *= levelMargin
 	}
-	allowance := s.capacity * (firstAllowance - 1)
 	for i := range s.classes * perClass {
-		if i == perClass {
-			allowance = 0
-		}
 		budget -= s.rate[i]
-		if budget+allowance < 0 {
+		if budget < 0 {
 			return frame.Level(max(i-1, 0))
 		}
 	}
--- a/level/table_test.go
+++ b/level/table_test.go
@@ -74,9 +74,10 @@
 	for i := range 6400 {
 		require.True(t, table.Admit(low, path), "call %d at the level", i)
 		table.Admit(low+1, path)
+		require.False(t, table.Admit(frame.NewLevel(2, 0), path), "probe below the class that is admitted next")
 	}
 	require.Equal(t, uint64(100), table.View().Probes)
-	require.Equal(t, uint64(6300), table.View().Shed)
+	require.Equal(t, uint64(12700), table.View().Shed)
 	strictest, l := table.Strictest(path)
 	require.Equal(t, path[1], strictest)
 	require.Equal(t, low, l)
