--- a/admit/limit_test.go
+++ b/admit/limit_test.go
@@ -118,3 +118,22 @@
 		}
 	}
 }
+
+// Guards against a trial of a lower limit that goes on while calls of class 0 queue.
+func TestPressEndsTrial(t *testing.T) {
+	l := newLimit(AlgorithmProbe, 20, 20)
+	now := time.Unix(0, 0)
+	l.left(sample{now: now, own: 20 * time.Millisecond})
+	for range probeBound {
+		l.ticked(now, use{full: true})
+	}
+	for l.Value() == 20 {
+		now = now.Add(probePhase)
+		l.left(sample{now: now, own: 20 * time.Millisecond})
+	}
+	require.Equal(t, 16, l.Value(), "low arm of the trial")
+	require.True(t, l.press(now))
+	require.Equal(t, 20, l.Value())
+	l.ticked(now.Add(time.Second), use{full: true, pressed: true})
+	require.False(t, l.press(now), "no trial while class 0 is queued")
+}
--- a/admit/view.go
+++ b/admit/view.go
@@ -25,7 +25,7 @@
 	Inflight int          `json:"inflight"`
 	Queued   int          `json:"queued"`
 	// ByClass is the number of queued calls per class, up to the last one in use.
-	ByClass []int `json:"byClass"`
+	ByClass []int `json:"classes"`
 	// Admitted is the number of admitted calls per class since the start.
 	Admitted []uint64 `json:"admitted"`
 	// Level is the admission level as class.rank.
