--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,7 +1,7 @@
 package retry
 
-// fixedAttempts is how many attempts every hop makes with control "fixed".
-const fixedAttempts = 3
+// maxAttempts is how many attempts a hop makes of one call in both baselines.
+const maxAttempts = 3
 
 // Budget is the retry rule of one hop in the baselines "fixed" and "ratio",
 // which know nothing of the rest of the graph. It is safe for concurrent use.
@@ -14,8 +14,9 @@
 // attempts.
 func NewFixedBudget() *Budget { return &Budget{} }
 
-// NewRatioBudget returns the rule of control "ratio": retries of this hop stay
-// below ratio times its first attempts plus burst.
+// NewRatioBudget returns the rule of control "ratio": up to 3 attempts as well,
+// but the retries of this hop stay below ratio times its first attempts plus
+// burst.
 func NewRatioBudget(ratio float64, burst int) *Budget {
 	return &Budget{bucket: NewBucket(BucketOptions{Ratio: ratio, Burst: burst})}
 }
@@ -30,8 +31,8 @@
 // Retry reports whether another attempt may follow the made ones, and charges
 // the budget for it.
 func (b *Budget) Retry(made int) bool {
-	if b.bucket == nil {
-		return made < fixedAttempts
+	if made >= maxAttempts {
+		return false
 	}
-	return b.bucket.Take(1) == 1
+	return b.bucket == nil || b.bucket.Take(1) == 1
 }
