Weigh admission levels by the server that reported them

Cause: levels were recorded without the VM that reported them, so one bad server could shed for its whole service. Ruled out: averaging levels, which has no meaning across classes. Change: the forwarder passes the VM's name to level.Table.ObserveFrom. Before and after: the votes per server are tested in package level; no run compares the two in a fleet. Conclusion: kept, as the table's contract asks for it.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -189,7 +189,7 @@
 	}
 	fb := reply.Feedback()
 	loan.Return(min(fb.Tries, loan.Permits()))
-	f.o.Levels.Observe(out.Op.Target(), fb.Level)
+	f.o.Levels.ObserveFrom(vm.Name(), out.Op.Target(), fb.Level)
 	f.o.Contact(vm.Name(), fb.Rev)
 	if fb.Outcome == frame.Answered {
 		f.o.Chooser.Report(vm.Name(), route.Report{Feedback: &fb})
