--- a/member/converge_test.go
+++ b/member/converge_test.go
@@ -17,10 +17,10 @@
 	// high is what each process held at the last check, by its store.
 	high map[*relay.Store]relay.Revs
 	// texts is the one text of each accepted revision.
-	texts   map[string]string
-	changes int
-	// restarts counts processes that started with empty memory.
-	restarts int
+	texts map[string]string
+	// accepted counts documents accepted by processes that are gone.
+	accepted uint64
+	begin    time.Time
 }
 
 func (m *machine) node(t *rapid.T) *simNode {
@@ -30,7 +30,6 @@
 // Publish publishes a document, sometimes one that nodes refuse.
 func (m *machine) Publish(t *rapid.T) {
 	key := rapid.SampledFrom(simKeys).Draw(t, "key")
-	m.changes++
 	switch {
 	case rapid.IntRange(0, 3).Draw(t, "kind") == 0:
 		m.plat.publish(key, []byte("bad"))
@@ -85,8 +84,9 @@
 
 // Restart replaces a process by one with empty memory.
 func (m *machine) Restart(t *rapid.T) {
-	m.restarts++
-	m.node(t).start()
+	n := m.node(t)
+	m.accepted += n.store.Counts().Accepted
+	n.start()
 }
 
 // Advance lets time pass.
@@ -107,6 +107,7 @@
 			require.Equal(t, want, n.store.Revs(), "%s", name)
 		}
 	}
+	m.bounded(t)
 }
 
 // lost returns the nodes that have no way to find another one: they started
@@ -161,6 +162,25 @@
 	return false
 }
 
+// Bounds of messages per document accepted by a node. In a healthy tree it is
+// about one push; pushes around nodes that do not answer make it more.
+const (
+	pushesPerAccepted = 4
+	pullsPerAccepted  = 1
+)
+
+// bounded checks that messages stay within a small multiple of the documents
+// that nodes accepted, besides the probes, which depend on the time only.
+func (m *machine) bounded(t *rapid.T) {
+	accepted := m.accepted
+	for _, n := range m.nodes {
+		accepted += n.store.Counts().Accepted
+	}
+	require.LessOrEqual(t, m.sent["push"], pushesPerAccepted*int(accepted))
+	ticks := int(m.clock.Since(m.begin) / relay.TickInterval)
+	require.LessOrEqual(t, m.sent["pull"], pullsPerAccepted*int(accepted)+len(m.names)*ticks/3)
+}
+
 // Check verifies after every action that no process went back and that one
 // revision has one text everywhere.
 func (m *machine) Check(t *rapid.T) {
@@ -189,7 +209,7 @@
 		s.nine()
 		s.plat.publish(relay.KeyVMs, s.listText(nil, nil))
 		s.plat.publish(relay.KeyBase, []byte("base 1"))
-		m := &machine{sim: s, high: make(map[*relay.Store]relay.Revs), texts: make(map[string]string)}
+		m := &machine{sim: s, high: make(map[*relay.Store]relay.Revs), texts: make(map[string]string), begin: s.clock.Now()}
 		for _, name := range s.names {
 			s.nodes[name].start()
 		}
--- a/member/scale_test.go
+++ b/member/scale_test.go
@@ -118,7 +118,7 @@
 	out["rest-beats/s/node"] = float64(s.sent["beat"]+s.sent["hello"]) / perNode
 	require.Less(t, s.plat.busiest, platformBudget/2)
 	s.change(t, size, out)
-	s.outage(t, out)
+	s.outage(t, size, out)
 	t.Logf("%v", out)
 	return out
 }
@@ -139,7 +139,7 @@
 }
 
 // outage takes the platform down for 20 s with a change at the end.
-func (s *sim) outage(t testing.TB, out map[string]float64) {
+func (s *sim) outage(t testing.TB, size size, out map[string]float64) {
 	t.Helper()
 	s.plat.up = false
 	s.plat.busiest = 0
@@ -150,7 +150,8 @@
 	t.Logf("after an outage: %s, busiest second %d reads", took, s.plat.busiest)
 	out["outage-reads/s"] = float64(s.plat.busiest)
 	require.LessOrEqual(t, took, 5*time.Second)
-	require.Less(t, s.plat.busiest, platformBudget/4)
+	watches := len(simKeys) * 3 * size.zones
+	require.Less(t, s.plat.busiest, 2*watches+size.nodes/10, "two attempts a second for each watch, and polls")
 }
 
 // Guards against a start of the whole fleet that exceeds the platform's budget
@@ -165,8 +166,8 @@
 	require.Less(t, s.plat.busiest*1500/198, platformBudget/2)
 }
 
-// Guards against a broken tree that leaves nodes behind for longer than 5 s: a
-// tenth of the nodes do not answer, and the list shows them as live.
+// Guards against a broken tree that leaves nodes behind until a probe finds them:
+// a tenth of the nodes do not answer, and the list shows them as live.
 func TestFleetWithDeadNodes(t *testing.T) {
 	s := fleet(396, 8)
 	s.startAll(t)
@@ -178,7 +179,7 @@
 	s.plat.publish(relay.KeyBase, []byte("base 2"))
 	took := s.until(t, relay.Revs{Base: 2})
 	t.Logf("change with a tenth of the nodes dead: %s, %d pushes, %d pulls", took, s.sent["push"], s.sent["pull"])
-	require.LessOrEqual(t, took, 5*time.Second)
+	require.LessOrEqual(t, took, 500*time.Millisecond, "the pushes go around dead nodes")
 	require.LessOrEqual(t, s.sent["push"], 4*396)
 }
 
--- a/peer/control_client.go
+++ b/peer/control_client.go
@@ -100,6 +100,21 @@
 	return call[relay.PullReply](ctx, c, addr, methodPull, r)
 }
 
+// Run closes idle connections until ctx is done, then all of them.
+func (c *ControlClient) Run(ctx context.Context) {
+	ticker := c.o.Clock.NewTicker(c.o.Idle / 4)
+	defer ticker.Stop()
+	defer c.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			c.Sweep()
+		}
+	}
+}
+
 // Sweep closes connections that are idle.
 func (c *ControlClient) Sweep() { c.pool.Sweep() }
 
--- a/peer/control_test.go
+++ b/peer/control_test.go
@@ -20,6 +20,7 @@
 
 	"dogwoodhead/frame"
 	"dogwoodhead/member"
+	"dogwoodhead/platform"
 	"dogwoodhead/relay"
 )
 
@@ -107,14 +108,21 @@
 	require.Equal(t, []string{"hello vm-a", "beat vm-a", "leave vm-a"}, f.got)
 	_, err = f.client.Push(ctx, f.addr, relay.PushRequest{})
 	require.ErrorContains(t, err, "refused here")
+	largest := make([]byte, platform.MaxValue)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(largest)
+	parcel := relay.Pack(relay.NewDocument(relay.KeyVMs, 1, largest), relay.Document{})
+	_, err = f.client.Push(ctx, f.addr, relay.PushRequest{From: "vm-a", Doc: parcel})
+	require.ErrorContains(t, err, "refused here", "the largest value that does not compress arrives")
 	close(f.block)
 	pulled, err := f.client.Pull(ctx, f.addr, relay.PullRequest{Whole: true})
 	require.NoError(t, err)
 	require.True(t, pulled.More)
 	require.Equal(t, 1, f.client.Conns(), "an error of the handler keeps the connection")
-	in := f.server.traffic.in.Get()
-	require.Equal(t, in, f.server.traffic.out.Get(), "both ends count into the same set")
-	require.Greater(t, in, uint64(500))
+	// A write is counted after it returns, when the reader may have its bytes.
+	require.Eventually(t, func() bool {
+		in := f.server.traffic.in.Get()
+		return in == f.server.traffic.out.Get() && in > platform.MaxValue
+	}, 5*time.Second, time.Millisecond, "both ends count into the same set")
 	f.clock.Advance(controlIdle)
 	f.client.Sweep()
 	require.Zero(t, f.client.Conns())
