Report the outcome of several attempts through retry.Merge

Cause: the forwarder had its own rule for which attempt's error to report, beside the tested one in package retry. Ruled out: keeping both; the tested rule also knows that 'void' from the owner of an operation key speaks for all attempts with it. Change: Forwarder.Do uses retry.Merge and counts an extra attempt when it is made, not when it is decided. Before: two rules. After: one; tests of peer, node, retry and once pass.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -76,39 +76,27 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, f.o.Clock, out.Deadline)
 	defer cancel()
 	var tried []string
-	var lost error
+	var sofar error
 	decider := f.decider(out)
 	for {
 		vm, err := f.pick(out, tried)
 		if err != nil {
-			return frame.Answer{}, worst(lost, err)
+			return frame.Answer{}, retry.Merge(sofar, err)
+		}
+		if len(tried) > 0 {
+			f.o.Extra(out.Op.Target())
 		}
 		tried = append(tried, vm.Name())
 		answer, err := f.attempt(ctx, out, vm)
 		if err == nil {
 			return answer, nil
 		}
-		if outcome, _ := frame.OutcomeOf(err); outcome == frame.Unknown {
-			lost = err
-		}
+		sofar = retry.Merge(sofar, err)
 		wait, again := decider.next(err, out.Deadline.Sub(f.o.Clock.Now()))
-		if !again {
-			return frame.Answer{}, worst(lost, err)
-		}
-		if !f.pause(ctx, wait) {
-			return frame.Answer{}, worst(lost, err)
+		if !again || !f.pause(ctx, wait) {
+			return frame.Answer{}, sofar
 		}
-		f.o.Extra(out.Op.Target())
-	}
-}
-
-// worst returns the error whose outcome covers all attempts: once one of them
-// may have run, the call may have run.
-func worst(lost, last error) error {
-	if lost != nil {
-		return lost
 	}
-	return last
 }
 
 // pick chooses the VM of the next attempt.
