Benchmark processor time per hop and memory per call in flight

Ruled out: wall time per call, which on a busy machine measures the machine. Change: BenchmarkCall reports processor time; BenchmarkInflight holds 100, 400 and 1,600 calls at one node. Before: no figure.

--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -1,55 +1,97 @@
 package node
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // chainBase declares a chain of services a -> b -> c -> d.
 const chainBase = `{
 	"classes": ["lookup"],
 	"services": {
-		"a": {"slots": 500, "operations": {"get": {"class": "lookup", "idempotent": true, "calls": ["b/get"]}}},
-		"b": {"slots": 500, "operations": {"get": {"class": "lookup", "idempotent": true, "calls": ["c/get"]}}},
-		"c": {"slots": 500, "operations": {"get": {"class": "lookup", "idempotent": true, "calls": ["d/get"]}}},
-		"d": {"slots": 500, "operations": {"get": {"class": "lookup", "idempotent": true, "calls": []}}}
+		"a": {"slots": 2000, "queue": 10, "operations": {"get": {"class": "lookup", "idempotent": true, "timeout": "30s", "calls": ["b/get"]}}},
+		"b": {"slots": 2000, "queue": 10, "operations": {"get": {"class": "lookup", "idempotent": true, "timeout": "30s", "calls": ["c/get"]}}},
+		"c": {"slots": 2000, "queue": 10, "operations": {"get": {"class": "lookup", "idempotent": true, "timeout": "30s", "calls": ["d/get"]}}},
+		"d": {"slots": 2000, "queue": 10, "operations": {"get": {"class": "lookup", "idempotent": true, "timeout": "30s", "calls": []}}}
 	}
 }`
 
-// BenchmarkCall measures one call through an entry node at several depths; the
-// difference between two depths is the cost of a hop, backend server included.
+// BenchmarkCall measures one call through an entry node at several depths. All
+// nodes, backend servers and the caller share the process, so the processor
+// time of a hop is the difference between two depths less that of "direct".
 func BenchmarkCall(b *testing.B) {
 	f := startFleet(b, chainBase, 1, "a", "b", "c", "d")
-	for depth, target := range []string{"d", "c", "b", "a"} {
-		b.Run("depth="+string(rune('1'+depth)), func(b *testing.B) {
+	run := func(name, address, path string) {
+		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
+			from := processorTime()
 			for b.Loop() {
-				benchmarkPost(b, f, f.servers[0].caller, "/call/"+target+"/get")
+				benchmarkPost(b, f, address, path)
 			}
+			b.ReportMetric(float64((processorTime()-from).Microseconds())/float64(b.N), "cpu-us/op")
 		})
 	}
-	b.Run("direct", func(b *testing.B) {
-		b.ReportAllocs()
-		for b.Loop() {
-			benchmarkPost(b, f, f.servers[3].node.set.Backend(), "/get")
-		}
-	})
+	for depth, target := range []string{"d", "c", "b", "a"} {
+		run(fmt.Sprintf("depth=%d", depth+1), f.servers[0].caller, "/call/"+target+"/get")
+	}
+	run("direct", f.servers[3].node.set.Backend(), "/get")
+}
+
+// BenchmarkInflight measures the memory of calls that wait at a node: entry,
+// node, backend server and caller of one process together.
+func BenchmarkInflight(b *testing.B) {
+	for _, calls := range []int{100, 400, 1600} {
+		b.Run(fmt.Sprintf("calls=%d", calls), func(b *testing.B) {
+			f := startFleet(b, chainBase, 3*time.Second, "d")
+			for b.Loop() {
+				before := memoryInUse()
+				var wg sync.WaitGroup
+				for range calls {
+					wg.Go(func() { benchmarkPost(b, f, f.servers[0].caller, "/call/d/get") })
+				}
+				for f.servers[0].node.gate.Load().Used() < calls {
+					time.Sleep(5 * time.Millisecond)
+				}
+				b.ReportMetric(float64(memoryInUse()-before)/float64(calls), "B/call")
+				wg.Wait()
+			}
+		})
+	}
+}
+
+// memoryInUse returns heap and stacks in use after a collection, in bytes.
+func memoryInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// processorTime returns the time that this process used, user and system.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func benchmarkPost(b *testing.B, f *testFleet, address, path string) {
 	resp, err := f.client.Post("http://"+address+path, "application/json", strings.NewReader(`{"token":"t"}`))
 	if err != nil {
-		b.Fatal(err)
+		b.Error(err)
+		return
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		b.Fatal(resp.Status)
-	}
-	buf := make([]byte, 4096)
-	for {
-		if _, err := resp.Body.Read(buf); err != nil {
-			return
-		}
+		b.Error(resp.Status)
 	}
+	_, _ = io.Copy(io.Discard, resp.Body)
 }
