Free the slot of a call whose handler panics

Cause: read-through; a panic between admission and answer skipped the ticket's Leave, so the slot would be lost until the process ends. Ruled out: recovering, which net/http does already. Change: Leave is deferred. Before and after: by reading; no panic was seen.

--- a/peer/server.go
+++ b/peer/server.go
@@ -253,8 +253,10 @@
 			return nil, err
 		}
 		in.ticket = ticket
+		ok := false
+		defer func() { ticket.Leave(ok) }()
 		got, err := next(ctx, req)
-		ticket.Leave(err == nil)
+		ok = err == nil
 		return got, err
 	}
 }
