Bound heartbeats by the number of callers and peers

Cause: a service with many callers gets a heartbeat from each of them every 8 s, which exceeds 3 KB a second above some 40 callers.

Change: a node with many peers sends rarer heartbeats, and one with many callers asks for longer intervals in its answers. Senders are remembered for 10 minutes, so that all of them are still told when the node leaves.

Before and after: with the wait of the answer ignored the test of 120 callers fails ('is not less than 3' heartbeats a second at the called node); with it a node stays below 3 a second.

Conclusion: heartbeats stay at about 2.5 a second sent and 2.5 answered, whatever the call graph is.

--- a/member/beat.go
+++ b/member/beat.go
@@ -14,6 +14,8 @@
 	due time.Time
 	// known is the process that this node introduced itself to with hello.
 	known frame.Incarnation
+	// wait is the interval that the peer asked for last.
+	wait time.Duration
 	// sending is set while a heartbeat is under way.
 	sending bool
 }
@@ -23,15 +25,18 @@
 	self := m.o.Board.Self().VM().Name()
 	list := m.o.Board.Members()
 	wanted := make(map[string]bool)
+	var peers []board.VM
 	for _, service := range m.o.Services() {
 		for _, vm := range list.Service(service) {
-			if vm.Name() == self || wanted[vm.Name()] {
-				continue
+			if vm.Name() != self && !wanted[vm.Name()] {
+				wanted[vm.Name()] = true
+				peers = append(peers, vm)
 			}
-			wanted[vm.Name()] = true
-			m.tickBeat(now, vm)
 		}
 	}
+	for _, vm := range peers {
+		m.tickBeat(now, vm, interval(len(peers)))
+	}
 	for name := range m.beats {
 		if !wanted[name] {
 			delete(m.beats, name)
@@ -39,7 +44,12 @@
 	}
 }
 
-func (m *Member) tickBeat(now time.Time, vm board.VM) {
+// interval returns the time between heartbeats of one of many pairs of nodes.
+func interval(pairs int) time.Duration {
+	return min(max(beatInterval, time.Duration(pairs)*beatShare), maxBeatInterval)
+}
+
+func (m *Member) tickBeat(now time.Time, vm board.VM, every time.Duration) {
 	b, ok := m.beats[vm.Name()]
 	if !ok {
 		b = &beat{due: now.Add(time.Duration(m.o.Rand.Int64N(int64(firstBeat))))}
@@ -51,10 +61,10 @@
 	// An answer to a call says the same as an answer to a heartbeat.
 	p, _ := m.o.Board.Peers().Get(vm.Name())
 	if !p.Seen.IsZero() && now.Sub(p.Seen) < beatInterval/2 && b.known == p.Incarnation {
-		b.due = p.Seen.Add(m.around(beatInterval))
+		b.due = p.Seen.Add(m.around(max(every, b.wait)))
 		return
 	}
-	b.due = now.Add(m.around(beatInterval))
+	b.due = now.Add(m.around(max(every, b.wait)))
 	introduce := !b.known.Known() || b.known != p.Incarnation
 	b.sending = m.submit(func(ctx context.Context) { m.sendBeat(ctx, vm, introduce) })
 }
@@ -82,6 +92,9 @@
 		if ok && introduce {
 			b.known = s.From
 		}
+		if ok {
+			b.wait = s.Wait
+		}
 	}
 	m.mu.Unlock()
 	if !ok {
@@ -143,13 +156,23 @@
 // HandleHello answers hello.
 func (m *Member) HandleHello(_ context.Context, s State) (State, error) {
 	m.hear(s)
-	return m.introduction(), nil
+	return m.answer(m.introduction()), nil
 }
 
 // HandleBeat answers a heartbeat.
 func (m *Member) HandleBeat(_ context.Context, s State) (State, error) {
 	m.hear(s)
-	return m.State(), nil
+	return m.answer(m.State()), nil
+}
+
+// answer asks the sender for a longer interval where there are many senders.
+func (m *Member) answer(s State) State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if wait := interval(len(m.senders)); wait > beatInterval {
+		s.Wait = wait
+	}
+	return s
 }
 
 // HandleLeave takes the news that a peer takes no new work.
--- a/member/leave.go
+++ b/member/leave.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"dogwoodhead/board"
@@ -87,7 +89,8 @@
 			m.farewells[name] = &farewell{next: now}
 		}
 	}
-	for name, f := range m.farewells {
+	for _, name := range slices.Sorted(maps.Keys(m.farewells)) {
+		f := m.farewells[name]
 		if f.sending || f.attempts >= leaveAttempts || now.Before(f.next) {
 			continue
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -19,16 +19,23 @@
 	// TickInterval is how often Run calls Tick.
 	TickInterval = 250 * time.Millisecond
 	// beatInterval is the time between heartbeats to a peer that answers no
-	// calls. At 19 peers it keeps control at a third of the allowed 3 KB a second.
+	// calls. At 19 peers and 19 callers it keeps control, sent and received, at
+	// half of the allowed 3 KB a second.
 	beatInterval = 8 * time.Second
+	// beatShare is the least time per peer or caller: more of them get longer
+	// intervals, so that a node sends and answers at most 2.5 heartbeats a second
+	// each, whatever the call graph is.
+	beatShare = 400 * time.Millisecond
+	// maxBeatInterval bounds what a peer may ask for.
+	maxBeatInterval = 4 * time.Minute
 	// beatRetry is the time to the next heartbeat after a failed one.
 	beatRetry = 2 * time.Second
 	// firstBeat is the time over which a node spreads its first heartbeats, which
 	// bring the incarnations that calls have to name.
 	firstBeat = time.Second
-	// senderTime is how long a sender gets this node's leave message: several
-	// heartbeat intervals, so that a lost heartbeat does not drop it.
-	senderTime = 4 * beatInterval
+	// senderTime is how long a sender gets this node's leave message: more than
+	// the longest interval, so that a lost heartbeat does not drop it.
+	senderTime = 10 * time.Minute
 	// maxSenders bounds the table of senders.
 	maxSenders = 4096
 	// pauseLimit is the gap between ticks that counts as a pause. A busy machine
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -85,6 +86,34 @@
 	require.Equal(t, n.board.Self().Incarnation(), p.Incarnation)
 }
 
+// Guards against control traffic that grows with the number of callers: a service
+// that 120 nodes call and that calls none.
+func TestManyCallersBeatRarely(t *testing.T) {
+	s := newSim(20261204, time.Unix(1_800_000_000, 0))
+	s.calls = map[string][]string{"front": {"leaf"}}
+	for i := range 122 {
+		s.add(i, fmt.Sprintf("zone-%d", i%4), []string{"front", "leaf"}[i/120])
+	}
+	s.plat.publish(relay.KeyVMs, s.listText(nil, nil))
+	s.plat.publish(relay.KeyBase, []byte("base 1"))
+	for _, name := range s.names {
+		s.nodes[name].start()
+	}
+	s.advance(2 * time.Minute)
+	clear(s.sent)
+	s.advance(time.Minute)
+	perLeaf := float64(s.sent["beat"]+s.sent["hello"]) / 60 / 2
+	t.Logf("%.2f heartbeats a second at each node with 120 callers", perLeaf)
+	require.Less(t, perLeaf, 3.0)
+	n := s.nodes["vm-0120"]
+	n.member.Leave()
+	s.advance(3 * time.Second)
+	for _, c := range s.callers(n) {
+		p, _ := c.board.Peers().Get("vm-0120")
+		require.True(t, p.Leaving, c.vm.Name())
+	}
+}
+
 // Guards against a node that ignores the platform's notice that it is taken away.
 func TestListMakesNodeLeave(t *testing.T) {
 	s := startNine(t)
@@ -231,7 +260,7 @@
 	<-done
 	want := State{
 		From: n.board.Self().Incarnation(), Revs: relay.Revs{Base: 1, Overlay: 2, VMs: 3},
-		Load: frame.NewLoad(4, 5), Leaving: true, Service: "s", Zone: "z", Control: "10.0.0.1:2",
+		Load: frame.NewLoad(4, 5), Leaving: true, Wait: 16 * time.Second, Service: "s", Zone: "z", Control: "10.0.0.1:2",
 	}
 	text, err := want.MarshalJSON()
 	require.NoError(t, err)
--- a/member/state.go
+++ b/member/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"dogwoodhead/frame"
 	"dogwoodhead/relay"
@@ -20,6 +21,9 @@
 	Load frame.Load
 	// Leaving says that the node takes no new work.
 	Leaving bool
+	// Wait is how long the sender of a heartbeat should wait before the next one.
+	// It is set in answers of nodes with many callers, in whole seconds.
+	Wait time.Duration
 	// Service, Zone and Control are set in hello only, because a node without a
 	// current VM list cannot look them up. Control is an ip:port.
 	Service string
@@ -35,6 +39,7 @@
 	VMs     uint64 `json:"vms"`
 	Load    string `json:"load"`
 	Leaving bool   `json:"leaving,omitempty"`
+	Wait    int    `json:"wait,omitempty"`
 	Service string `json:"service,omitempty"`
 	Zone    string `json:"zone,omitempty"`
 	Control string `json:"control,omitempty"`
@@ -44,7 +49,7 @@
 func (s State) MarshalJSON() ([]byte, error) {
 	return json.Marshal(stateWire{
 		From: s.From.String(), Rev: s.Revs.Pair().String(), VMs: s.Revs.VMs, Load: s.Load.String(),
-		Leaving: s.Leaving, Service: s.Service, Zone: s.Zone, Control: s.Control,
+		Leaving: s.Leaving, Wait: int(s.Wait / time.Second), Service: s.Service, Zone: s.Zone, Control: s.Control,
 	})
 }
 
@@ -77,9 +82,10 @@
 	if _, err := netip.ParseAddrPort(w.Control); w.Control != "" && err != nil {
 		return fmt.Errorf("state: control %q: want ip:port", w.Control)
 	}
+	wait := time.Duration(min(max(w.Wait, 0), int(maxBeatInterval/time.Second))) * time.Second
 	*s = State{
 		From: from, Revs: relay.Revs{Base: rev.Base(), Overlay: rev.Overlay(), VMs: w.VMs}, Load: load,
-		Leaving: w.Leaving, Service: w.Service, Zone: w.Zone, Control: w.Control,
+		Leaving: w.Leaving, Wait: wait, Service: w.Service, Zone: w.Zone, Control: w.Control,
 	}
 	return nil
 }
--- a/peer/control_bench_test.go
+++ b/peer/control_bench_test.go
@@ -18,6 +18,7 @@
 // Seconds between the messages of a node at rest, from packages member and relay.
 const (
 	beatSeconds  = 8.0
+	shareSeconds = 0.4
 	probeSeconds = 1.5
 )
 
@@ -68,7 +69,7 @@
 			}
 			b.ReportMetric(beat, "B/beat")
 			b.ReportMetric(pull, "B/probe")
-			b.ReportMetric(2*float64(peers)*beat/beatSeconds+2*pull/probeSeconds, "B/s-in-and-out")
+			b.ReportMetric(2*float64(peers)*beat/max(beatSeconds, shareSeconds*float64(peers))+2*pull/probeSeconds, "B/s-in-and-out")
 		})
 	}
 }
