trial: Add a soak under random faults

The callers of package standin now record which attempts were refused and which ended with a connection, so that each refused attempt without a key is joined with the ledgers, not only calls whose every attempt was refused.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL    := $(GO) tool -modfile=tools/go.mod
 PKGS    := ./...
 
-.PHONY: build test lint format demo measure slopes generate
+.PHONY: build test lint format demo measure slopes generate soak
 
 build:
 	mkdir -p bin
@@ -31,3 +31,7 @@
 
 slopes: build
 	./bin/trial slopes
+
+soak: build
+	./bin/trial soak
+	./bin/trial soak --base deploy/collective/base.jsonc --overlay deploy/collective/ogun-west.jsonc
--- a/standin/call.go
+++ b/standin/call.go
@@ -19,6 +19,9 @@
 // maxBackoff bounds the wait before a retry.
 const maxBackoff = 5 * time.Second
 
+// keyPrefix begins the reason of an attempt that got no operation key.
+const keyPrefix = "key-"
+
 // call is one call of one caller with its retries.
 type call struct {
 	callers *Callers
@@ -26,9 +29,11 @@
 	tally   *tally
 	token   string
 	// sends is the token of the current attempt.
-	sends  string
-	key    string
-	random *rand.Rand
+	sends string
+	// refused lists the attempts that were not run.
+	refused []int
+	key     string
+	random  *rand.Rand
 }
 
 // attemptResult is what one attempt came to.
@@ -36,6 +41,10 @@
 	outcome string
 	reason  string
 	partial bool
+	// cut says that the connection to the entry broke.
+	cut bool
+	// lost is set where the connection to the entry broke.
+	lost *Lost
 }
 
 func (c *call) run(ctx context.Context) {
@@ -48,7 +57,7 @@
 	outcome, attempts := c.attempts(ctx)
 	c.tally.done(Root{
 		Token: c.token, Target: c.class.Target, Outcome: outcome, Attempts: attempts,
-		Keyed: c.class.Keyed, Sent: sent, Done: c.since(),
+		Keyed: c.class.Keyed, Refused: c.refused, Sent: sent, Done: c.since(),
 	})
 }
 
@@ -81,6 +90,8 @@
 		switch a.outcome {
 		case OutcomeWhole, OutcomeWrong, OutcomeHungUp:
 			return a.outcome, n
+		case OutcomeNotRun:
+			c.refused = append(c.refused, n)
 		case OutcomeUnknown, OutcomeFailed:
 			if outcome != OutcomeUnknown {
 				outcome = a.outcome
@@ -100,7 +111,15 @@
 // attempt sends the call once, for a keyed call after it got a key. The time of
 // a keyed attempt covers both requests.
 func (c *call) attempt(ctx context.Context) attemptResult {
-	entry := c.callers.entry(c.class, c.random)
+	entry, sent := c.callers.entry(c.class, c.random), c.since()
+	a := c.attemptAt(ctx, entry)
+	if strings.HasSuffix(a.reason, string(frame.ReasonLost)) || a.partial {
+		a.lost = &Lost{Token: c.sends, Entry: entry, Reason: a.reason, Inside: !a.cut, Sent: sent, Done: c.since()}
+	}
+	return a
+}
+
+func (c *call) attemptAt(ctx context.Context, entry string) attemptResult {
 	if c.class.Keyed && c.key == "" {
 		if a := c.getKey(ctx, entry); a.outcome != OutcomeWhole {
 			return a
@@ -169,13 +188,13 @@
 		if a.reason == string(frame.ReasonDial) {
 			c.callers.refuse(entry)
 		}
-		return attemptResult{outcome: OutcomeNotRun, reason: "key-" + a.reason}
+		return attemptResult{outcome: OutcomeNotRun, reason: keyPrefix + a.reason, cut: a.cut}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return attemptResult{outcome: OutcomeNotRun, reason: "key-" + resp.Header.Get(frame.HeaderReason)}
+		return attemptResult{outcome: OutcomeNotRun, reason: keyPrefix + resp.Header.Get(frame.HeaderReason)}
 	}
 	if c.key = keyOf(resp.Header, body); c.key == "" {
-		return attemptResult{outcome: OutcomeNotRun, reason: "key-empty"}
+		return attemptResult{outcome: OutcomeNotRun, reason: keyPrefix + "empty"}
 	}
 	return attemptResult{outcome: OutcomeWhole}
 }
@@ -222,10 +241,10 @@
 	case errors.As(err, &op) && op.Op == "dial":
 		return attemptResult{outcome: OutcomeNotRun, reason: string(frame.ReasonDial)}
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		return attemptResult{outcome: OutcomeUnknown, reason: string(frame.ReasonPartial), partial: true}
+		return attemptResult{outcome: OutcomeUnknown, reason: string(frame.ReasonPartial), partial: true, cut: true}
 	case errors.Is(err, context.DeadlineExceeded):
 		return attemptResult{outcome: OutcomeUnknown, reason: string(frame.ReasonTimeout)}
 	default:
-		return attemptResult{outcome: OutcomeUnknown, reason: string(frame.ReasonLost)}
+		return attemptResult{outcome: OutcomeUnknown, reason: string(frame.ReasonLost), cut: true}
 	}
 }
--- a/standin/callers.go
+++ b/standin/callers.go
@@ -76,6 +76,7 @@
 	for _, t := range tallies {
 		res.Classes = append(res.Classes, t.result())
 		res.Roots = append(res.Roots, t.roots...)
+		res.Lost = append(res.Lost, t.lost...)
 		res.Examples = append(res.Examples, t.examples...)
 	}
 	c.client.CloseIdleConnections()
--- a/standin/result.go
+++ b/standin/result.go
@@ -69,6 +69,20 @@
 	Attempts int    `json:"attempts"`
 	// Keyed says that the call must run at most once.
 	Keyed bool `json:"keyed,omitempty"`
+	// Refused lists the numbers of the attempts that were refused as not run.
+	Refused []int `json:"refused,omitempty"`
+	// Sent and Done are microseconds from the start of the run.
+	Sent int64 `json:"sent"`
+	Done int64 `json:"done"`
+}
+
+// Lost is one attempt that ended because a connection broke: that of the caller
+// to its entry or, where Inside is set, one behind the entry.
+type Lost struct {
+	Token  string `json:"token"`
+	Entry  string `json:"entry"`
+	Reason string `json:"reason"`
+	Inside bool   `json:"inside,omitempty"`
 	// Sent and Done are microseconds from the start of the run.
 	Sent int64 `json:"sent"`
 	Done int64 `json:"done"`
@@ -83,6 +97,8 @@
 	Examples []string `json:"examples,omitempty"`
 	// Roots lists every call, where the scenario records them.
 	Roots []Root `json:"roots,omitempty"`
+	// Lost lists the attempts that ended with a connection, where the scenario records calls.
+	Lost []Lost `json:"lost,omitempty"`
 }
 
 // Class returns the counts of a class by name, nil where there is none.
@@ -101,6 +117,7 @@
 	r        ClassResult
 	latency  []float64 // milliseconds
 	roots    []Root
+	lost     []Lost
 	examples []string
 	record   bool
 }
@@ -127,6 +144,9 @@
 	if a.partial {
 		t.r.Partial++
 	}
+	if a.lost != nil && t.record {
+		t.lost = append(t.lost, *a.lost)
+	}
 	if a.outcome == OutcomeWrong && len(t.examples) < keepExamples {
 		t.examples = append(t.examples, a.reason)
 	}
--- a/trial/account.go
+++ b/trial/account.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"slices"
 	"strings"
 
 	"dogwoodhead/standin"
@@ -56,7 +57,9 @@
 		for n := 1; n <= r.Attempts; n++ {
 			token := standin.AttemptToken(r.Token, r.Keyed, n)
 			useful[token] = r.Outcome == standin.OutcomeWhole && (r.Keyed || n == r.Attempts)
-			notRun[token] = r.Outcome == standin.OutcomeNotRun
+			// The attempts of a keyed call share a token, so only all together
+			// can be said not to have run.
+			notRun[token] = r.Outcome == standin.OutcomeNotRun || !r.Keyed && slices.Contains(r.Refused, n)
 		}
 	}
 	type key struct{ target, token string }
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,6 +48,19 @@
 	node    *Process
 	backend *Process
 	inline  *inline
+	// nodes and backends count the processes started, so that each has a log.
+	nodes    int
+	backends int
+	// faults is held by the fault that the VM's processes have now.
+	faults sync.Mutex
+}
+
+// processName names the nth process of a VM and its log.
+func processName(kind, vm string, n int) string {
+	if n == 1 {
+		return kind + "-" + vm
+	}
+	return fmt.Sprintf("%s-%s.%d", kind, vm, n)
 }
 
 // Node returns the process of the node, nil in a fleet without nodes.
@@ -121,6 +136,18 @@
 	if err != nil {
 		return err
 	}
+	vms, err := f.list()
+	if err != nil {
+		return err
+	}
+	return errors.Join(
+		f.Publish(ctx, "base", base),
+		f.Publish(ctx, "overlay/"+f.plan.Site, f.plan.overlay),
+		f.Publish(ctx, "vms", vms))
+}
+
+// list returns the VM list to publish.
+func (f *Fleet) list() ([]byte, error) {
 	list := struct {
 		VMs []board.VMFields `json:"vms"`
 	}{}
@@ -128,13 +155,7 @@
 		list.VMs = append(list.VMs, s.VM)
 	}
 	vms, err := json.Marshal(list)
-	if err != nil {
-		return eris.Wrap(err, "write the VM list")
-	}
-	return errors.Join(
-		f.Publish(ctx, "base", base),
-		f.Publish(ctx, "overlay/"+f.plan.Site, f.plan.overlay),
-		f.Publish(ctx, "vms", vms))
+	return vms, eris.Wrap(err, "write the VM list")
 }
 
 func (f *Fleet) startBackend(s *Server, index int) error {
@@ -153,7 +174,8 @@
 	if err != nil {
 		return err
 	}
-	s.backend, err = startProcess(f.dir, "backend-"+s.VM.Name, f.programs.Standin, "backend", "--settings", file)
+	s.backends++
+	s.backend, err = startProcess(f.dir, processName("backend", s.VM.Name, s.backends), f.programs.Standin, "backend", "--settings", file)
 	return err
 }
 
@@ -173,7 +195,8 @@
 	if err != nil {
 		return err
 	}
-	s.node, err = startProcess(f.dir, "node-"+s.VM.Name, f.programs.Node, "node", "--settings", file)
+	s.nodes++
+	s.node, err = startProcess(f.dir, processName("node", s.VM.Name, s.nodes), f.programs.Node, "node", "--settings", file)
 	return err
 }
 
--- a/trial/plan.go
+++ b/trial/plan.go
@@ -34,6 +34,8 @@
 	Spread float64
 	// Seed makes the backend servers repeatable.
 	Seed uint64
+	// Log is the log level of the nodes.
+	Log string
 
 	base    map[string]any
 	overlay []byte
@@ -50,7 +52,7 @@
 
 // ReadPlan reads the base and overlay files of a deployment.
 func ReadPlan(base, overlay string) (*Plan, error) {
-	p := &Plan{PerZone: 1, delays: make(map[string]time.Duration)}
+	p := &Plan{PerZone: 1, Log: "warn", delays: make(map[string]time.Duration)}
 	src, err := os.ReadFile(base)
 	if err != nil {
 		return nil, eris.Wrap(err, "read base document")
@@ -195,7 +197,7 @@
 			Caller: s.Caller, Call: s.VM.Call, Control: s.VM.Control,
 			Outbound: s.Outbound, Operator: s.Operator,
 		},
-		Backend: s.Backend, Platform: platform, Log: "warn",
+		Backend: s.Backend, Platform: platform, Log: p.Log,
 		Linger: standin.Duration(nodeLinger), Drain: standin.Duration(nodeDrain),
 		Delays: make(map[string]string),
 	}
