trial: Give each fleet a loopback address of its own

Ruled out: a fault of the stand-in, whose process listened on its other port. Change: a fleet picks an address in 127.0.0.0/8 at random. Before: ports of 127.0.0.1 shared by all fleets. After: shared by chance only.

--- a/trial/ports.go
+++ b/trial/ports.go
@@ -3,13 +3,13 @@
 import (
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strconv"
 
 	"github.com/rotisserie/eris"
 )
 
 const (
-	loopback = "127.0.0.1"
 	// firstPort and lastPort lie below the range from which systems take the
 	// local ports of outgoing connections, so that a picked port stays free.
 	firstPort = 20000
@@ -17,9 +17,17 @@
 )
 
 // ports picks free loopback ports, each once.
-type ports struct{ next int }
+type ports struct {
+	host string
+	next int
+}
 
-func newPorts() *ports { return &ports{next: firstPort + rand.IntN(lastPort-firstPort)} }
+// newPorts picks a loopback address of its own in 127.0.0.0/8, so that no other
+// fleet or test takes the port of a process while it is down.
+func newPorts() *ports {
+	host := netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+	return &ports{host: host.String(), next: firstPort + rand.IntN(lastPort-firstPort)}
+}
 
 // address returns a free ip:port.
 func (p *ports) address() (string, error) {
@@ -28,7 +36,7 @@
 		if p.next > lastPort {
 			p.next = firstPort
 		}
-		address := net.JoinHostPort(loopback, strconv.Itoa(p.next))
+		address := net.JoinHostPort(p.host, strconv.Itoa(p.next))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
