node: Hold calls back as soon as a pause ends

Cause: the entry asked the board whether the view is fresh, but a pause is noticed at the next tick only, up to 250 ms after the process resumes. A call in between was admitted with the view from before the pause. member.Member.Fresh notices it at once and nothing called it. Ruled out: the member's refresh itself, which holds calls back after the tick. Change: caller.Options.Fresh, wired to the member.

--- a/caller/entry.go
+++ b/caller/entry.go
@@ -41,6 +41,9 @@
 	Issue func(ctx context.Context, t frame.Target) (string, error)
 	// NewID returns a random id.
 	NewID func() frame.ID
+	// Fresh reports whether the view of the node is fresh. It notices a pause
+	// that has just ended, before the next tick does.
+	Fresh func() bool
 	// Observe is told the caller, class, outcome and time of each call.
 	Observe func(c Call, o frame.Outcome, r frame.Reason, took time.Duration)
 }
@@ -180,7 +183,7 @@
 func (e *Entry) fresh(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
 		const step = 10 * time.Millisecond
-		for waited := time.Duration(0); !e.o.Board.Fresh(); waited += step {
+		for waited := time.Duration(0); !e.o.Fresh(); waited += step {
 			if waited >= freshWait {
 				return nil, frame.Refuse(frame.ReasonStale, "the node was paused and has not refreshed its view")
 			}
--- a/node/control.go
+++ b/node/control.go
@@ -54,7 +54,7 @@
 func newControl(n *Node) *control {
 	c := &control{n: n, set: metrics.NewSet(), asked: make(map[string]time.Time), running: context.Background()}
 	c.platform = platform.NewClient(platform.Options{Addr: strings.TrimPrefix(n.set.Platform(), "http://")})
-	c.client = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: c.set})
+	c.client = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: c.set, Dial: n.dial})
 	c.workers = board.NewWorkers(controlWorkers, controlQueue, func(ctx context.Context, task func(context.Context)) { task(ctx) })
 	c.store = relay.NewStore(relay.StoreOptions{Site: n.set.Site(), Check: checkDocument, Apply: c.apply})
 	c.relay = relay.New(relay.Options{
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -51,6 +51,8 @@
 	operator string
 	backend  *standin.Backend
 	node     *Node
+	settings *settings.Settings
+	clock    *skewClock
 	// stop ends the node gracefully; done gets the result of Run.
 	stop context.CancelFunc
 	done chan error
@@ -61,12 +63,13 @@
 	platform *standin.Platform
 	servers  []*testServer
 	client   *http.Client
+	links    *links
 }
 
 // startFleet runs one VM for each named service and waits until all serve.
 func startFleet(t testing.TB, base string, work time.Duration, services ...string) *testFleet {
 	t.Helper()
-	f := &testFleet{platform: standin.NewPlatform(standin.PlatformOptions{}), client: &http.Client{
+	f := &testFleet{platform: standin.NewPlatform(standin.PlatformOptions{}), links: newLinks(), client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64},
 	}}
 	t.Cleanup(f.client.CloseIdleConnections)
@@ -116,26 +119,37 @@
 		"listen": map[string]string{
 			"caller": s.caller, "call": s.vm.Call, "control": s.vm.Control, "outbound": outbound, "operator": s.operator,
 		},
-		"backend": ln.Addr().String(), "platform": platform, "linger": "100ms", "drain": "10s",
+		"backend": ln.Addr().String(), "platform": platform, "linger": "20ms", "drain": "10s",
 	})
 	require.NoError(t, err)
-	parsed, err := settings.Parse("test", src)
+	s.settings, err = settings.Parse("test", src)
 	require.NoError(t, err)
+	t.Cleanup(stopBackend)
+	f.startNode(t, s)
+}
+
+// startNode runs a process of a VM's node, the first or a later one.
+func (f *testFleet) startNode(t testing.TB, s *testServer) {
+	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s.node = New(parsed, "test", log, clockwork.NewRealClock())
+	s.clock = &skewClock{Clock: clockwork.NewRealClock()}
+	s.node = newNode(s.settings, "test", log, s.clock, f.links.dialer(s.vm.Name))
 	ctx, cancel := context.WithCancel(context.Background())
-	s.stop, s.done = cancel, make(chan error, 1)
-	go func() { s.done <- s.node.Run(ctx) }()
+	node, done := s.node, make(chan error, 1)
+	s.stop, s.done = cancel, done
+	go func() {
+		done <- node.Run(ctx)
+		close(done)
+	}()
 	t.Cleanup(func() {
 		cancel()
 		select {
-		case err := <-s.done:
+		case err := <-done: // nil where the test has taken it
 			require.NoError(t, err)
 		case <-time.After(20 * time.Second):
 			t.Errorf("node %s did not stop", s.vm.Name)
 		}
-		stopBackend()
 	})
 }
 
--- /dev/null
+++ b/node/links_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// link is the way from one node to an address of another one.
+type link struct{ from, to string }
+
+// links are the connections between the nodes of a fleet. A cut link refuses
+// new connections and breaks those that are open.
+type links struct {
+	mu   sync.Mutex
+	cuts map[link]bool
+	open map[link][]net.Conn
+}
+
+func newLinks() *links { return &links{cuts: make(map[link]bool), open: make(map[link][]net.Conn)} }
+
+func (l *links) dialer(from string) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.cuts[link{from, addr}] {
+			_ = c.Close()
+			return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("link is cut")}
+		}
+		l.open[link{from, addr}] = append(l.open[link{from, addr}], c)
+		return c, nil
+	}
+}
+
+// cut separates two nodes in both directions.
+func (l *links) cut(a, b *testServer) { l.set(a, b, true) }
+
+// heal ends a cut.
+func (l *links) heal(a, b *testServer) { l.set(a, b, false) }
+
+func (l *links) set(a, b *testServer, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, one := range []link{
+		{a.vm.Name, b.vm.Call},
+		{a.vm.Name, b.vm.Control},
+		{b.vm.Name, a.vm.Call},
+		{b.vm.Name, a.vm.Control},
+	} {
+		l.cuts[one] = cut
+		for _, c := range l.open[one] {
+			_ = c.Close()
+		}
+		delete(l.open, one)
+	}
+}
+
+// skewClock is the real clock plus a jump. After a jump the process sees what
+// it sees when it was paused: time has passed, but no ticker has fired yet.
+type skewClock struct {
+	clockwork.Clock
+	skew atomic.Int64
+}
+
+func (c *skewClock) Now() time.Time { return c.Clock.Now().Add(time.Duration(c.skew.Load())) }
+
+func (c *skewClock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+func (c *skewClock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
+
+func (c *skewClock) jump(d time.Duration) { c.skew.Add(int64(d)) }
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -56,6 +57,8 @@
 	callers   *retry.Callers
 	chooser   *route.Chooser
 	metrics   *operator.Metrics
+	// dial opens connections to other nodes; nil outside tests.
+	dial dialFunc
 
 	client    *peer.Client
 	forwarder *peer.Forwarder
@@ -67,8 +70,16 @@
 	control   *control
 }
 
+// dialFunc is the type of net.Dialer.DialContext.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // New builds a node from its settings. Nothing runs yet.
 func New(s *settings.Settings, version string, log *logrus.Logger, clock clockwork.Clock) *Node {
+	return newNode(s, version, log, clock, nil)
+}
+
+// newNode is New with a seam through which tests cut the links between nodes.
+func newNode(s *settings.Settings, version string, log *logrus.Logger, clock clockwork.Clock, dial dialFunc) *Node {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	vm := board.NewVM(board.VMFields{
 		Name: s.VM(), Zone: s.Zone(), Region: s.Region(), Service: s.Service(),
@@ -87,6 +98,7 @@
 		bucket:    retry.NewBucket(retry.BucketOptions{Ratio: policy.DefaultRatio, Burst: policy.DefaultBurst, Start: startPermits}),
 		callers:   retry.NewCallers(retry.CallerOptions{Clock: clock}),
 		metrics:   operator.NewMetrics(),
+		dial:      dial,
 	}
 	n.gate = admit.NewGate(admit.Options{Clock: clock, Limits: admit.Limits{Slots: startSlots, Enabled: true}})
 	n.chooser = route.NewChooser(n.board, route.Options{Clock: clock, Rand: newRand()})
@@ -99,7 +111,7 @@
 func (n *Node) wireCalls() {
 	delays := n.set.Delays()
 	n.client = peer.NewClient(peer.ClientOptions{
-		Clock: n.clock, Body: n.body,
+		Clock: n.clock, Body: n.body, Dial: n.dial,
 		Delay: func(zone string) time.Duration { return delays[zone] },
 	})
 	n.forwarder = peer.NewForwarder(peer.ForwarderOptions{
@@ -126,7 +138,7 @@
 	})
 	n.entry = caller.New(caller.Options{
 		Clock: n.clock, Board: n.board, Levels: n.levels, Bucket: n.bucket, Callers: n.callers,
-		Forward: n.forwarder.Do, Issue: n.issue, NewID: newID, Observe: n.observeEntry,
+		Forward: n.forwarder.Do, Issue: n.issue, NewID: newID, Observe: n.observeEntry, Fresh: n.control.member.Fresh,
 	})
 }
 
