--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -160,7 +160,7 @@
 
 // send makes calls through the entries until stopped. The error is the first
 // call that was cut: neither answered nor refused as not run.
-func (l *stopLoad) send(f *testFleet, worker int, entries []*testServer, ended <-chan struct{}) error {
+func (l *stopLoad) send(worker int, entries []*testServer, ended <-chan struct{}) error {
 	// Without reuse, because a caller cannot tell a connection that the entry
 	// has just closed as idle from a call that was cut.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -219,7 +219,7 @@
 			ended := make(chan struct{})
 			var g errgroup.Group
 			for w := range stopWorkers {
-				g.Go(func() error { return l.send(f, w, entries, ended) })
+				g.Go(func() error { return l.send(w, entries, ended) })
 			}
 			await(t, "calls are answered", func() bool { return l.answered.Load() > 12 })
 			// The call that begins next lasts longer than the linger time, so that
