--- a/trial/soak.go
+++ b/trial/soak.go
@@ -23,6 +23,8 @@
 	// soakSettle follows the last fault, so that configuration has to be in
 	// force everywhere before the run ends.
 	soakSettle = inForceLimit + 2*time.Second
+	// servesLimit is the time in which every node has to answer once all is settled.
+	servesLimit = 10 * time.Second
 	// soakHangUp is the share of calls that one class of callers gives up.
 	soakHangUp = 0.5
 )
@@ -152,6 +154,7 @@
 		err = eris.Wrap(ctx.Err(), "interrupted")
 	}
 	if err == nil {
+		s.checkServes(ctx)
 		s.scrapeAll(ctx)
 	}
 	stopWatch()
@@ -164,6 +167,25 @@
 	return res, err
 }
 
+// checkServes finds nodes that no longer take calls, though all faults are over.
+func (s *soak) checkServes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, servesLimit)
+	defer cancel()
+	var g errgroup.Group
+	for _, v := range s.fleet.servers {
+		g.Go(func() error {
+			if s.statusOf(v).Leaving {
+				s.broken(checkServes, "%s still leaves", v.VM.Name)
+			}
+			if err := s.fleet.waitAnswer(ctx, v); err != nil {
+				s.broken(checkServes, "%v", err)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
 // stopAll ends the fleet; each process must end cleanly.
 func (s *soak) stopAll() {
 	if err := s.fleet.Stop(); err != nil {
