--- a/member/member.go
+++ b/member/member.go
@@ -65,7 +65,8 @@
 	Hello, Beat func(ctx context.Context, addr string, s State) (State, error)
 	Leave       func(ctx context.Context, addr string, s State) error
 	// Go runs a task on the pool of workers, and reports false where its queue
-	// is full.
+	// is full. It is called under the member's lock, so it must neither block nor
+	// run the task itself.
 	Go func(task func(context.Context)) bool
 }
 
@@ -77,7 +78,9 @@
 	// lastTick is the time of the last tick in nanoseconds of the Unix epoch;
 	// 0 before the first.
 	lastTick atomic.Int64
-	mu       sync.Mutex
+	// mu is acquired after the lock of a relay and before those of the store and
+	// the board. It is not held while other nodes are called.
+	mu sync.Mutex
 	// beats is keyed by VM name and holds the peers of called services only.
 	beats map[string]*beat
 	// senders is keyed by VM name; at most maxSenders rows.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,7 +63,8 @@
 	// before it has returned.
 	Watch func(key string, after uint64, wait time.Duration, done func(platform.Value, error))
 	// Go runs a task on the pool of workers, and reports false where its queue
-	// is full.
+	// is full. It is called under the relay's lock, so it must neither block nor
+	// run the task itself.
 	Go func(task func(context.Context)) bool
 	// Readers is the number of readers per zone; 3 where it is 0.
 	Readers int
@@ -76,8 +77,9 @@
 type Relay struct {
 	o      Options
 	counts counters
-	mu     sync.Mutex
-	rand   *rand.Rand
+	// mu is acquired before any lock of the board, the store or package member.
+	mu   sync.Mutex
+	rand *rand.Rand
 	// watches is keyed by document key.
 	watches map[string]*watch
 	// readersOf is the list that reading, near and others were computed for.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -127,6 +127,10 @@
 	require.NoError(t, err)
 	require.Equal(t, 3, accepted)
 	require.Equal(t, s.o.Store.Revs(), other.o.Store.Revs())
+	require.Equal(t, Refused, other.accept(NewDocument(KeyBase, 4, []byte("bad")), ""))
+	status := other.Status()
+	require.Equal(t, DocumentStatus{Key: KeyBase, Rev: 3, Size: pullSize, Refused: 4, Reason: errBad.Error()}, status.Documents[0])
+	require.Equal(t, uint64(3), status.Pulls)
 }
 
 // Guards against a tree that misses nodes, has cycles, is wider or deeper than
--- a/relay/store.go
+++ b/relay/store.go
@@ -70,7 +70,12 @@
 
 // Counts are the totals of results since the start.
 type Counts struct {
-	Accepted, Known, Older, Conflict, Refused uint64
+	Accepted uint64 `json:"accepted"`
+	Known    uint64 `json:"known"`
+	Older    uint64 `json:"older"`
+	// Conflict counts documents of the revision in force with other bytes.
+	Conflict uint64 `json:"conflict"`
+	Refused  uint64 `json:"refused"`
 }
 
 // slot holds the documents of one key.
