--- a/node/control.go
+++ b/node/control.go
@@ -37,6 +37,7 @@
 	n        *Node
 	set      *metrics.Set
 	platform *platform.Client
+	watcher  *platform.Watcher
 	client   *peer.ControlClient
 	server   *peer.ControlServer
 	workers  *board.Workers[func(context.Context)]
@@ -47,13 +48,12 @@
 	mu sync.Mutex
 	// asked is when a VM was last sent a background hello.
 	asked map[string]time.Time
-	// running ends with the node; watches hang on it.
-	running context.Context
 }
 
 func newControl(n *Node) *control {
-	c := &control{n: n, set: metrics.NewSet(), asked: make(map[string]time.Time), running: context.Background()}
+	c := &control{n: n, set: metrics.NewSet(), asked: make(map[string]time.Time)}
 	c.platform = platform.NewClient(platform.Options{Addr: strings.TrimPrefix(n.set.Platform(), "http://")})
+	c.watcher = platform.NewWatcher(c.platform)
 	c.client = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: c.set, Dial: n.dial})
 	c.workers = board.NewWorkers(controlWorkers, controlQueue, func(ctx context.Context, task func(context.Context)) { task(ctx) })
 	c.store = relay.NewStore(relay.StoreOptions{Site: n.set.Site(), Check: checkDocument, Apply: c.apply})
@@ -67,7 +67,7 @@
 		Pull: func(ctx context.Context, vm board.VM, r relay.PullRequest) (relay.PullReply, error) {
 			return c.client.Pull(ctx, vm.Control(), r)
 		},
-		Read: c.platform.Read, Watch: c.watch, Go: c.workers.Submit,
+		Seeds: n.set.Seeds(), Read: c.platform.Read, Watch: c.watcher.Start, Go: c.workers.Submit,
 	})
 	c.member = member.New(member.Options{
 		Board: n.board, Clock: n.clock, Rand: newRand(), Metrics: c.set,
@@ -92,31 +92,18 @@
 	}
 	metrics.RegisterSet(c.set)
 	defer metrics.UnregisterSet(c.set, true)
-	c.mu.Lock()
-	c.running = ctx
-	c.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { c.workers.Run(ctx) })
 	wg.Go(func() { c.relay.Run(ctx) })
 	wg.Go(func() { c.member.Run(ctx) })
+	wg.Go(func() { c.client.Run(ctx) })
 	err = c.server.Serve(ctx, ln)
 	wg.Wait()
-	c.client.Close()
+	c.watcher.Close()
 	c.platform.Close()
 	return eris.Wrap(err, "serve control")
 }
 
-// watch starts a watch in the background; it ends with the node.
-func (c *control) watch(key string, after uint64, wait time.Duration, done func(platform.Value, error)) {
-	c.mu.Lock()
-	ctx := c.running
-	c.mu.Unlock()
-	go func() {
-		v, err := c.platform.Watch(ctx, key, after, wait)
-		done(v, err)
-	}()
-}
-
 // handle adds to a hello's or beat's answer the sequence above which the
 // sender's attempts are accepted here.
 func (c *control) handle(next func(context.Context, member.State) (member.State, error)) func(context.Context, member.State) (member.State, error) {
@@ -170,8 +157,9 @@
 	}
 }
 
-// contact takes the revision pair that another node showed with a call or answer.
-func (c *control) contact(vm string, rev frame.Revision) {
+// called takes the revision pair that another node showed with a call, and
+// remembers the node for this one's leave message.
+func (c *control) called(vm string, rev frame.Revision) {
 	c.member.Heard(vm)
 	c.relay.Contact(vm, rev)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -119,7 +119,7 @@
 	n.forwarder = peer.NewForwarder(peer.ForwarderOptions{
 		Clock: n.clock, Board: n.board, Client: n.client, Chooser: n.chooser, Levels: n.levels,
 		Watch: n.watch, Sequencer: n.sequencer, Budgets: peer.NewBudgets(policy.DefaultRatio),
-		Hello: n.control.hello, Introduce: n.control.introduce, Contact: n.control.contact,
+		Hello: n.control.hello, Introduce: n.control.introduce, Contact: n.control.relay.Contact,
 		Extra: n.metrics.Attempt, Random: rand.Float64,
 	})
 	n.monitor = backend.NewMonitor(backend.MonitorOptions{
@@ -131,7 +131,7 @@
 	n.server = peer.NewServer(peer.ServerOptions{
 		Clock: n.clock, Board: n.board, Window: n.window, Keys: n.keys, Gate: n.gate, Levels: n.levels,
 		Spans: n.spans, Run: n.backend.Run, Unavailable: n.unavailable,
-		Contact: n.control.contact, Observe: n.metrics.Inbound,
+		Contact: n.control.called, Observe: n.metrics.Inbound,
 	})
 	n.outbound = backend.NewOutbound(backend.OutboundOptions{
 		Clock: n.clock, Board: n.board, Spans: n.spans, Forward: n.forwarder.Do, NewID: newID,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"dogwoodhead/jsonc"
@@ -50,6 +51,7 @@
 	Listen   listenFields      `json:"listen"`
 	Backend  string            `json:"backend"`
 	Platform string            `json:"platform"`
+	Seeds    []string          `json:"seeds"`
 	Log      string            `json:"log"`
 	Linger   string            `json:"linger"`
 	Drain    string            `json:"drain"`
@@ -172,6 +174,10 @@
 // Platform returns the base URL of the configuration service.
 func (s *Settings) Platform() string { return s.fields.Platform }
 
+// Seeds returns the control addresses of other nodes that are asked for the
+// documents while the platform is down.
+func (s *Settings) Seeds() []string { return slices.Clone(s.fields.Seeds) }
+
 // Log returns the lowest log level: debug, info, warn or error.
 func (s *Settings) Log() string { return s.fields.Log }
 
