--- a/standin/call.go
+++ b/standin/call.go
@@ -25,6 +25,7 @@
 	class   ClassLoad
 	tally   *tally
 	token   string
+	due     time.Duration // since the start of the run
 	// sends is the token of the current attempt.
 	sends  string
 	key    string
@@ -49,7 +50,7 @@
 	c.tally.done(Root{
 		Token: c.token, Target: c.class.Target, Outcome: outcome, Attempts: attempts,
 		Keyed: c.class.Keyed, Sent: sent, Done: c.since(),
-	})
+	}, c.due)
 }
 
 // since returns the microseconds since the start of the run.
--- a/standin/callers.go
+++ b/standin/callers.go
@@ -100,7 +100,7 @@
 		}
 		token := c.sc.Name + "-" + class.Name + "-" + strconv.Itoa(n)
 		one := &call{
-			callers: c, class: class.at(due), tally: t, token: token,
+			callers: c, class: class.at(due), tally: t, token: token, due: due,
 			random: rand.New(rand.NewPCG(random.Uint64(), uint64(n))),
 		}
 		select {
--- a/standin/result.go
+++ b/standin/result.go
@@ -45,6 +45,10 @@
 	Partial int `json:"partial"`
 	// Skipped counts arrivals that were not sent, because too many calls were open.
 	Skipped int `json:"skipped"`
+	// Late is the 99th percentile of how late calls were sent after their
+	// arrival time, in milliseconds. Where it is large, the machine had no time
+	// for the callers, and the run says little about the nodes.
+	Late float64 `json:"late"`
 	// Attempts counts attempts, retries included.
 	Attempts int `json:"attempts"`
 	// Reasons counts attempts without a whole answer, as "outcome:reason".
@@ -100,6 +104,7 @@
 	mu       sync.Mutex
 	r        ClassResult
 	latency  []float64 // milliseconds
+	late     []float64 // milliseconds
 	roots    []Root
 	examples []string
 	record   bool
@@ -132,10 +137,11 @@
 	}
 }
 
-// done counts one call.
-func (t *tally) done(root Root) {
+// done counts one call that was due at a time since the start of the run.
+func (t *tally) done(root Root, due time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.late = append(t.late, float64(root.Sent-due.Microseconds())/1e3)
 	t.r.Sent++
 	t.r.Offered = bump(t.r.Offered, root.Sent)
 	switch root.Outcome {
@@ -175,6 +181,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	slices.Sort(t.latency)
+	slices.Sort(t.late)
+	t.r.Late = Quantile(t.late, 0.99)
 	t.r.P50, t.r.P99 = Quantile(t.latency, 0.5), Quantile(t.latency, 0.99)
 	for _, ms := range t.latency {
 		i := 0
--- a/trial/measure.go
+++ b/trial/measure.go
@@ -32,6 +32,9 @@
 	slowFactor = 10
 	// surgeFactor multiplies the rate of lookups.
 	surgeFactor = 5
+	// lateLimit is the lateness of the callers, in milliseconds, above which a
+	// row says more about the machine than about the nodes.
+	lateLimit = 100.0
 	// surgeRetries and surgeBackoff are those of callers that retry hard.
 	surgeRetries = 4
 	surgeBackoff = 50 * time.Millisecond
@@ -99,6 +102,9 @@
 	Partial int `json:"partial"`
 	Twice   int `json:"twice"`
 	Ran     int `json:"ran"`
+	// Late is how late the callers were at the 99th percentile, in
+	// milliseconds; see standin.ClassResult.
+	Late float64 `json:"late"`
 	// Reads is the platform's largest number of reads within a second.
 	Reads   int                   `json:"reads"`
 	Classes []standin.ClassResult `json:"classes"`
@@ -265,6 +271,7 @@
 		r.Offered += rate
 		r.Wrong += c.Wrong
 		r.Partial += c.Partial
+		r.Late = max(r.Late, c.Late)
 	}
 	for _, rate := range t.capacity(f).Carry(demands) {
 		r.Limit += rate
@@ -326,19 +333,20 @@
 func printRows(out io.Writer, rows []Row) {
 	w := newTable(out)
 	defer w.Flush()
-	fmt.Fprintln(w, "scenario\tmode\toffered/s\tlimit/s\tanswered/s\tgoodput\tbookings\tattempts\twasted\trecovery s\twrong\ttwice\tnot run but ran\t")
+	fmt.Fprintln(w, "scenario\tmode\toffered/s\tlimit/s\tanswered/s\tgoodput\tbookings\tattempts\twasted\trecovery s\twrong\ttwice\tnot run but ran\tcallers late ms\t")
 	for _, r := range rows {
 		recovery := "none" + missMark
 		if r.Recovery != nil {
 			recovery = mark("%.1f", *r.Recovery, *r.Recovery <= targetRecovery.Seconds())
 		}
-		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%s\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t%d\t\n",
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%s\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t%d\t%s\t\n",
 			r.Scenario, r.Mode, r.Offered, r.Limit, r.Answered,
 			mark("%.1f%%", 100*r.Goodput, r.Goodput >= targetGoodput),
 			mark("%.1f%%", 100*r.Bookings, r.Bookings >= targetBookings),
 			mark("%.3f", r.Attempts, r.Attempts <= 1+targetRatio),
-			100*r.Wasted, recovery, r.Wrong, r.Twice, r.Ran)
+			100*r.Wasted, recovery, r.Wrong, r.Twice, r.Ran, mark("%.0f", r.Late, r.Late <= lateLimit))
 	}
-	fmt.Fprintf(w, "%s misses the target: goodput >= %.0f%%, bookings >= %.0f%%, attempts <= %.1f, recovery <= %s\n",
-		missMark, 100*targetGoodput, 100*targetBookings, 1+targetRatio, targetRecovery)
+	fmt.Fprintf(w, "%s misses the target: goodput >= %.0f%%, bookings >= %.0f%%, attempts <= %.1f, recovery <= %s; "+
+		"callers more than %.0f ms late had too little processor time\n",
+		missMark, 100*targetGoodput, 100*targetBookings, 1+targetRatio, targetRecovery, lateLimit)
 }
