--- a/peer/forward.go
+++ b/peer/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -25,6 +26,8 @@
 	Chooser   *route.Chooser
 	Levels    *level.Table
 	Sequencer *once.Sequencer
+	// Watch notices silent peers.
+	Watch *Watch
 	// Budgets are the retry rules of the baselines.
 	Budgets *Budgets
 	// Hello asks a VM's node for its incarnation and introduces this process
@@ -73,41 +76,29 @@
 	ctx, cancel := clockwork.WithDeadline(ctx, f.o.Clock, out.Deadline)
 	defer cancel()
 	var tried []string
-	var lost error
+	var sofar error
 	decider := f.decider(out)
 	for {
 		vm, err := f.pick(out, tried)
 		if err != nil {
-			return frame.Answer{}, worst(lost, err)
+			return frame.Answer{}, retry.Merge(sofar, err)
+		}
+		if len(tried) > 0 {
+			f.o.Extra(out.Op.Target())
 		}
 		tried = append(tried, vm.Name())
 		answer, err := f.attempt(ctx, out, vm)
 		if err == nil {
 			return answer, nil
 		}
-		if outcome, _ := frame.OutcomeOf(err); outcome == frame.Unknown {
-			lost = err
-		}
+		sofar = retry.Merge(sofar, err)
 		wait, again := decider.next(err, out.Deadline.Sub(f.o.Clock.Now()))
-		if !again {
-			return frame.Answer{}, worst(lost, err)
+		if !again || !f.pause(ctx, wait) {
+			return frame.Answer{}, sofar
 		}
-		if !f.pause(ctx, wait) {
-			return frame.Answer{}, worst(lost, err)
-		}
-		f.o.Extra(out.Op.Target())
 	}
 }
 
-// worst returns the error whose outcome covers all attempts: once one of them
-// may have run, the call may have run.
-func worst(lost, last error) error {
-	if lost != nil {
-		return lost
-	}
-	return last
-}
-
 // pick chooses the VM of the next attempt.
 func (f *Forwarder) pick(out Outgoing, tried []string) (board.VM, error) {
 	if !out.Owner.Known() {
@@ -138,7 +129,12 @@
 		return frame.Answer{}, err
 	}
 	id := f.o.Sequencer.Next(receiver)
-	reply, err := f.o.Client.Send(ctx, NewAttempt(vm, id, c, out.Request))
+	waiting, end := f.o.Watch.start(ctx, vm, func() bool { return out.Op.Idempotent() && out.Escrow.Held() > 0 })
+	reply, err := f.o.Client.Send(waiting, NewAttempt(vm, id, c, out.Request))
+	if err != nil && errors.Is(context.Cause(waiting), errSilent) {
+		err = frame.Lose(frame.ReasonTimeout, vm.Name()+" gives no sign of life")
+	}
+	end()
 	return f.book(out, vm, loan, reply, err)
 }
 
@@ -181,7 +177,7 @@
 	}
 	fb := reply.Feedback()
 	loan.Return(min(fb.Tries, loan.Permits()))
-	f.o.Levels.Observe(out.Op.Target(), fb.Level)
+	f.o.Levels.ObserveFrom(vm.Name(), out.Op.Target(), fb.Level)
 	f.o.Contact(vm.Name(), fb.Rev)
 	if fb.Outcome == frame.Answered {
 		f.o.Chooser.Report(vm.Name(), route.Report{Feedback: &fb})
--- a/peer/server.go
+++ b/peer/server.go
@@ -138,7 +138,7 @@
 		Level:       level,
 		Load:        s.o.Gate.Load(),
 		Incarnation: s.o.Board.Self().Incarnation(),
-		Leaving:     s.o.Board.Leaving() || s.o.Unavailable() == frame.ReasonLeaving,
+		Leaving:     s.o.Board.Leaving(),
 		Rev:         s.o.Board.Rev(),
 	}
 }
@@ -253,8 +253,10 @@
 			return nil, err
 		}
 		in.ticket = ticket
+		ok := false
+		defer func() { ticket.Leave(ok) }()
 		got, err := next(ctx, req)
-		ticket.Leave(err == nil)
+		ok = err == nil
 		return got, err
 	}
 }
