--- a/trial/arithmetic_test.go
+++ b/trial/arithmetic_test.go
@@ -39,6 +39,7 @@
 		{"a short peak is not held", steps([2]int{20, 5}, [2]int{5, 10}, [2]int{20, 1}, [2]int{5, 4}, [2]int{20, 10}), 5 * second, true},
 		{"94% is not enough", steps([2]int{100, 5}, [2]int{25, 10}, [2]int{94, 15}), 0, false},
 		{"95% is enough", steps([2]int{100, 5}, [2]int{25, 10}, [2]int{95, 15}), 0, true},
+		{"late answers to a backlog", steps([2]int{20, 5}, [2]int{5, 10}, [2]int{40, 1}, [2]int{5, 14}), 0, false},
 		{"never", steps([2]int{20, 5}, [2]int{5, 25}), 0, false},
 		{"back only as the run ends", steps([2]int{20, 5}, [2]int{5, 24}, [2]int{20, 1}), 0, false},
 	} {
