--- a/standin/call.go
+++ b/standin/call.go
@@ -28,6 +28,7 @@
 	class   ClassLoad
 	tally   *tally
 	token   string
+	due     time.Duration // since the start of the run
 	// sends is the token of the current attempt.
 	sends string
 	// refused lists the attempts that were not run.
@@ -58,7 +59,7 @@
 	c.tally.done(Root{
 		Token: c.token, Target: c.class.Target, Outcome: outcome, Attempts: attempts,
 		Keyed: c.class.Keyed, Refused: c.refused, Sent: sent, Done: c.since(),
-	})
+	}, c.due)
 }
 
 // since returns the microseconds since the start of the run.
