node: Answer requests that are read while a stop begins

Change: a stop closes the listener, waits until no connection has a request or may send its first, and then calls Shutdown. Before: TestStopAnswersRequestBeingRead got 'unexpected EOF'. After: it passes. TestLeavingEntryRetiresConnections covers 'Connection: close' and was seen to fail without it.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"net"
@@ -138,6 +139,47 @@
 	})
 }
 
+// Guards against a leaving entry that keeps its callers' connections open until
+// it closes them under a request.
+func TestLeavingEntryRetiresConnections(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	entry := f.server("front")
+	resp, body := f.post(t, entry.caller, "/call/deep/get", ask("before"))
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
+	require.False(t, resp.Close)
+	entry.node.leave()
+	resp, body = f.post(t, entry.caller, "/call/deep/get", ask("leaving"))
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
+	require.True(t, resp.Close)
+}
+
+// Guards against a stop that drops a request which was on its way to the entry
+// when the stop closed its listener.
+func TestStopAnswersRequestBeingRead(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	entry := f.server("front")
+	c, err := net.Dial("tcp", entry.caller)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /call/deep/get HTTP/1.1\r\nHost: entry\r\n")
+	require.NoError(t, err)
+	entry.stop()
+	await(t, "the entry takes no connections", func() bool {
+		other, err := net.Dial("tcp", entry.caller)
+		if err == nil {
+			_ = other.Close()
+		}
+		return err != nil
+	})
+	body := ask("late")
+	_, err = fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, "answered", outcome(resp))
+	require.NoError(t, <-entry.done)
+}
+
 // stopWorkers keeps the calls that wait on one dependency below its share.
 const stopWorkers = 4
 
--- a/node/run.go
+++ b/node/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -20,8 +19,6 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's headers.
-	headerTimeout = 5 * time.Second
 	// gateTick is the period of the admission control's decisions.
 	gateTick = 100 * time.Millisecond
 )
@@ -48,14 +45,6 @@
 	return log, nil
 }
 
-// listener is one HTTP interface of the node.
-type listener struct {
-	name    string
-	address string
-	handler http.Handler
-	server  *http.Server
-}
-
 func (n *Node) listeners() (call, outbound, entry, operators *listener) {
 	calls := http.NewServeMux()
 	calls.Handle("POST /call/{service}/{operation}", peer.Leased(n.memory, n.server.Handler()))
@@ -71,12 +60,6 @@
 	return call, outbound, entry, operators
 }
 
-func newListener(name, address string, h http.Handler) *listener {
-	return &listener{name: name, address: address, handler: h, server: &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * time.Minute,
-	}}
-}
-
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	call, outbound, entry, operators := n.listeners()
@@ -118,11 +101,7 @@
 			n.closeAll(all[:i])
 			return eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
 		}
-		go func() {
-			if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-				failed <- eris.Wrapf(err, "serve %s", l.name)
-			}
-		}()
+		l.serve(ln, failed)
 	}
 	return nil
 }
@@ -162,7 +141,7 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), n.clock, n.set.Drain())
 	defer cancel()
 	var failed error
-	if err := entry.server.Shutdown(ctx); err != nil {
+	if err := entry.stop(ctx, n.clock); err != nil {
 		failed = eris.Wrap(err, "calls from callers did not end in time")
 	}
 	select {
@@ -171,7 +150,7 @@
 		failed = eris.New("calls at the backend server did not end in time")
 	}
 	for _, l := range []*listener{call, outbound, operators} {
-		if err := l.server.Shutdown(ctx); err != nil && failed == nil {
+		if err := l.stop(ctx, n.clock); err != nil && failed == nil {
 			failed = eris.Wrapf(err, "close %s", l.name)
 		}
 	}
