Test that a node starts while the platform is down

Cause: the start by seeds had no test. Ruled out: covering it in the relay's state machine alone; the settings field and its wiring are what can break. Change: a test that replaces a node's process while the platform is down.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -284,3 +284,19 @@
 		})
 	}
 }
+
+// Guards against a node that cannot start while the platform is down, although
+// other nodes have the documents.
+func TestStartWithPlatformDown(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
+	deep := f.server("deep")
+	f.platform.SetMode(standin.ModeDown)
+	deep.stop()
+	require.NoError(t, <-deep.done)
+	f.startNode(t, deep)
+	f.waitReady(t, deep, len(f.servers))
+	await(t, "the new process serves", func() bool {
+		resp, _ := f.post(t, f.server("front").caller, "/call/front/look", ask("seeded"))
+		return resp.StatusCode == http.StatusOK
+	})
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -119,6 +119,7 @@
 		"listen": map[string]string{
 			"caller": s.caller, "call": s.vm.Call, "control": s.vm.Control, "outbound": outbound, "operator": s.operator,
 		},
+		"seeds":   []string{f.servers[0].vm.Control},
 		"backend": ln.Addr().String(), "platform": platform, "linger": "20ms", "drain": "10s",
 	})
 	require.NoError(t, err)
