Make the test of the start by seeds fail without seeds

Ruled out: cutting links to the seed, which would cut what is tested. Change: the test starts a VM that is not in the list yet. Conclusion: the test now guards what its comment says.

--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -286,17 +286,14 @@
 }
 
 // Guards against a node that cannot start while the platform is down, although
-// other nodes have the documents.
+// other nodes have the documents. Its VM is not in the list yet, so no other
+// node comes to it first.
 func TestStartWithPlatformDown(t *testing.T) {
 	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep")
-	deep := f.server("deep")
 	f.platform.SetMode(standin.ModeDown)
-	deep.stop()
-	require.NoError(t, <-deep.done)
-	f.startNode(t, deep)
-	f.waitReady(t, deep, len(f.servers))
-	await(t, "the new process serves", func() bool {
-		resp, _ := f.post(t, f.server("front").caller, "/call/front/look", ask("seeded"))
-		return resp.StatusCode == http.StatusOK
-	})
+	late := newTestServer(t, "deep-late", "deep")
+	f.add(late)
+	f.waitReady(t, late, len(f.servers))
+	resp, body := f.post(t, late.caller, "/call/front/look", ask("seeded"))
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
 }
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -64,6 +64,8 @@
 	servers  []*testServer
 	client   *http.Client
 	links    *links
+	// add runs another VM on the fleet's documents.
+	add func(s *testServer)
 }
 
 // startFleet runs one VM for each named service and waits until all serve.
@@ -79,10 +81,7 @@
 		VMs []board.VMFields `json:"vms"`
 	}
 	for i, service := range services {
-		s := &testServer{caller: freeAddress(t), operator: freeAddress(t), vm: board.VMFields{
-			Name: service + "-" + string(rune('a'+i)), Zone: "z1", Region: "r1", Service: service,
-			Call: freeAddress(t), Control: freeAddress(t),
-		}}
+		s := newTestServer(t, service+"-"+string(rune('a'+i)), service)
 		list.VMs = append(list.VMs, s.vm)
 		f.servers = append(f.servers, s)
 	}
@@ -92,8 +91,9 @@
 	f.platform.Publish("vms", 0, vms)
 	doc, err := standin.ReadDocument([]byte(base))
 	require.NoError(t, err)
+	f.add = func(s *testServer) { f.startServer(t, s, doc, work, web.URL) }
 	for _, s := range f.servers {
-		f.startServer(t, s, doc, work, web.URL)
+		f.add(s)
 	}
 	for _, s := range f.servers {
 		f.waitReady(t, s, len(f.servers))
@@ -101,6 +101,14 @@
 	return f
 }
 
+// newTestServer returns a VM with free addresses that runs nothing yet.
+func newTestServer(t testing.TB, name, service string) *testServer {
+	t.Helper()
+	return &testServer{caller: freeAddress(t), operator: freeAddress(t), vm: board.VMFields{
+		Name: name, Zone: "z1", Region: "r1", Service: service, Call: freeAddress(t), Control: freeAddress(t),
+	}}
+}
+
 func (f *testFleet) startServer(t testing.TB, s *testServer, doc *standin.Document, work time.Duration, platform string) {
 	t.Helper()
 	outbound := freeAddress(t)
