trial: Test the checks of the soak

Cause: a check of the soak that finds nothing proves nothing. The account is sorted, so that reports of one run are equal.

--- a/trial/account.go
+++ b/trial/account.go
@@ -90,5 +90,7 @@
 			a.Ran = append(a.Ran, k.target+" "+k.token)
 		}
 	}
+	slices.Sort(a.Twice)
+	slices.Sort(a.Ran)
 	return a
 }
--- a/trial/arithmetic_test.go
+++ b/trial/arithmetic_test.go
@@ -99,14 +99,14 @@
 // work of an attempt that brought no answer.
 func TestAccount(t *testing.T) {
 	roots := []standin.Root{
-		{Token: "a", Target: "shop/look", Outcome: standin.OutcomeWhole, Attempts: 2},
+		{Token: "a", Target: "shop/look", Outcome: standin.OutcomeWhole, Attempts: 2, Refused: []int{1}},
 		{Token: "b", Target: "shop/book", Outcome: standin.OutcomeWhole, Attempts: 2, Keyed: true},
 		{Token: "c", Target: "shop/look", Outcome: standin.OutcomeNotRun, Attempts: 1},
 		{Token: "d", Target: "shop/look", Outcome: standin.OutcomeNotRun, Attempts: 1},
 	}
 	ledgers := []standin.LedgerView{
 		{Service: "shop", Entries: []standin.Entry{
-			{Operation: "look", Token: "a", Runs: 1, Busy: 3},   // the caller gave this attempt up
+			{Operation: "look", Token: "a", Runs: 1, Busy: 3},   // reported as not run, then retried
 			{Operation: "look", Token: "a~2", Runs: 1, Busy: 2}, // and got this answer
 			{Operation: "look", Token: "d", Runs: 1, Busy: 1},   // ran though reported as not run
 			{Operation: "look", Token: "ready", Runs: 9, Busy: 9},
@@ -117,7 +117,7 @@
 	a := NewAccount(testDocument, roots, ledgers)
 	require.Equal(t, Account{
 		External: 6, Extra: 2, Busy: 12, Wasted: 3 + 1 + 2 + 1,
-		Twice: []string{"desk/enter b.0"}, Ran: []string{"shop/look d"},
+		Twice: []string{"desk/enter b.0"}, Ran: []string{"shop/look a", "shop/look d"},
 	}, a)
 	require.InDelta(t, 1+2.0/6, a.AttemptsPerRoot(), 1e-9)
 	require.InDelta(t, 7.0/12, a.WastedShare(), 1e-9)
