Let a newer VM list take back that a VM is leaving

Ruled out: a longer wait before the mark counts, which only moves the limit; ignoring the list, which the platform's users rely on. Change: the own entry's mark is read from the list in force and refuses new work with reason 'draining'; only the own process's stop is final. A body that begins after the deadline is reported as 'timeout', not 'memory'. Before: with the refusal switched off TestListMarksLeaving fails ('answered').

--- a/board/board.go
+++ b/board/board.go
@@ -98,12 +98,19 @@
 // Peers returns the table of peers, keyed by VM name.
 func (b *Board) Peers() *Table[string, Peer] { return b.peers }
 
-// Leaving reports whether this node takes no new work.
+// Leaving reports whether this node takes no new work until its process ends.
 func (b *Board) Leaving() bool { return b.leaving.Load() }
 
 // SetLeaving marks this node as leaving and reports whether it was not before.
 func (b *Board) SetLeaving() bool { return b.leaving.CompareAndSwap(false, true) }
 
+// Listed reports whether the VM list in force says that this VM is leaving. The
+// list may be stale when a process starts, so a newer one can take it back.
+func (b *Board) Listed() bool {
+	own, ok := b.Members().Get(b.self.vm.name)
+	return ok && own.leaving
+}
+
 // Fresh reports whether the node's view was refreshed since its last pause.
 func (b *Board) Fresh() bool { return b.fresh.Load() }
 
--- a/frame/outcome.go
+++ b/frame/outcome.go
@@ -55,8 +55,8 @@
 	ReasonCancelled Reason = "cancelled"
 	// ReasonLeaving: the node takes no new work until its process ends.
 	ReasonLeaving Reason = "leaving"
-	// ReasonDraining: the backend server says that it drains. It may mislead, so
-	// this can end, unlike ReasonLeaving.
+	// ReasonDraining: the backend server says that it drains, or the VM list that
+	// the VM is leaving. Both may mislead, so this can end, unlike ReasonLeaving.
 	ReasonDraining Reason = "draining"
 	// ReasonBulkhead: too many calls already wait on a dependency.
 	ReasonBulkhead Reason = "bulkhead"
--- a/member/member.go
+++ b/member/member.go
@@ -41,11 +41,6 @@
 	// pauseLimit is the gap between ticks that counts as a pause. A busy machine
 	// delays a tick by some hundred milliseconds.
 	pauseLimit = time.Second
-	// firstList is how long a process that has just started does not act on a
-	// list that calls its VM leaving. A stale platform may show a list from
-	// before the VM was replaced; peers bring the newer one in about a second,
-	// and leaving cannot be taken back.
-	firstList = 2 * time.Second
 )
 
 // Options configures a Member.
@@ -80,8 +75,6 @@
 type Member struct {
 	o      Options
 	counts counters
-	// created is when the process started.
-	created time.Time
 	// lastTick is the time of the last tick in nanoseconds of the Unix epoch;
 	// 0 before the first.
 	lastTick atomic.Int64
@@ -116,7 +109,7 @@
 // documents are there.
 func New(o Options) *Member {
 	return &Member{
-		o: o, counts: newCounters(o.Metrics), created: o.Clock.Now(),
+		o: o, counts: newCounters(o.Metrics),
 		beats: make(map[string]*beat), senders: make(map[string]sender),
 		pause: pause{stale: true, starting: true},
 	}
@@ -145,7 +138,6 @@
 	m.lastTick.Store(now.UnixNano())
 	m.tickRefresh(now)
 	m.tickBeats(now)
-	m.heedList(now)
 	m.tickLeave(now)
 	for name, s := range m.senders {
 		if now.Sub(s.seen) > senderTime {
@@ -154,8 +146,8 @@
 	}
 }
 
-// Apply puts an accepted VM list on the board. Where the own entry says leaving,
-// this node starts to leave, a process that has just started a little later. Package relay calls it in the order of revisions.
+// Apply puts an accepted VM list on the board. Package relay calls it in the
+// order of revisions.
 func (m *Member) Apply(d relay.Document) error {
 	vms, err := ParseList(d.Bytes())
 	if err != nil {
@@ -163,21 +155,10 @@
 	}
 	list := board.NewMembers(d.Rev(), vms)
 	m.o.Board.SetMembers(list)
-	m.heedList(m.o.Clock.Now())
 	m.forget(list)
 	return nil
 }
 
-// heedList makes this node leave where the list in force says so.
-func (m *Member) heedList(now time.Time) {
-	if now.Sub(m.created) < firstList {
-		return
-	}
-	if own, ok := m.o.Board.Members().Get(m.o.Board.Self().VM().Name()); ok && own.Leaving() {
-		m.o.Board.SetLeaving()
-	}
-}
-
 // forget removes the rows of peers that left the list, except those that calls
 // still wait on.
 func (m *Member) forget(list *board.Members) {
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -297,3 +297,32 @@
 	resp, body := f.post(t, late.caller, "/call/front/look", ask("seeded"))
 	require.Equal(t, http.StatusOK, resp.StatusCode, body)
 }
+
+// Guards against new work at a backend server whose VM the list marks as
+// leaving, and against a mark that outlives the list that made it.
+func TestListMarksLeaving(t *testing.T) {
+	f := startFleet(t, testBase, time.Millisecond, "front", "middle", "deep", "deep")
+	marked, entry := f.servers[3], f.server("front")
+	f.publishList(t, marked)
+	await(t, "the node knows that its VM leaves", marked.node.board.Listed)
+	before := marked.runs()
+	for i := range 20 {
+		resp, body := f.post(t, entry.caller, "/call/deep/get", ask(fmt.Sprintf("away%d", i)))
+		require.Equal(t, http.StatusOK, resp.StatusCode, body)
+	}
+	// A sender whose list is older still calls it.
+	c, err := frame.NewContext(frame.Fields{Call: 1, Span: 2, Class: 1, Left: time.Second, Rev: entry.node.board.Rev()})
+	require.NoError(t, err)
+	id := entry.node.sequencer.Next(marked.node.board.Self().Incarnation())
+	resp, body := f.post(t, marked.vm.Call, "/call/deep/get", ask("direct"),
+		frame.HeaderContext, c.Encode(), frame.HeaderAttempt, id.String())
+	require.Equal(t, "notrun draining", outcome(resp), body)
+	require.Equal(t, before, marked.runs(), "new work after the node knew")
+	f.publishList(t, nil)
+	i := 0
+	await(t, "the VM gets work again", func() bool {
+		i++
+		f.post(t, entry.caller, "/call/deep/get", ask(fmt.Sprintf("back%d", i)))
+		return marked.runs() > before
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -161,6 +161,9 @@
 	if n.board.Leaving() {
 		return frame.ReasonLeaving
 	}
+	if n.board.Listed() {
+		return frame.ReasonDraining
+	}
 	return n.monitor.Unavailable()
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -123,10 +123,6 @@
 		case <-t.Chan():
 			n.gate.Tick()
 			n.watch.Tick()
-			if n.board.Leaving() {
-				// The VM list said so; Member only marks the board.
-				n.gate.Close(frame.ReasonLeaving)
-			}
 		}
 	}
 }
--- a/node/view.go
+++ b/node/view.go
@@ -21,7 +21,7 @@
 		Incarnation: self.Incarnation().String(), Version: n.version,
 		Revision: n.board.Rev().String(), Rejected: n.control.rejected(),
 		VMs: n.board.Members().Len(), ListRevision: n.board.Members().Rev(),
-		Leaving: n.board.Leaving(), Fresh: n.board.Fresh(), Backend: string(n.monitor.State()),
+		Leaving: n.board.Leaving() || n.board.Listed(), Fresh: n.board.Fresh(), Backend: string(n.monitor.State()),
 		Gate: operator.Gate{
 			Limit: g.Limit, Inflight: g.Inflight, Queued: g.Queued, Level: g.Level, Typical: g.Typical.String(),
 		},
--- a/peer/body.go
+++ b/peer/body.go
@@ -22,6 +22,9 @@
 		// connection looks like too.
 		return nil, frame.Lose(frame.ReasonPartial, "answer without a length")
 	}
+	if ctx.Err() != nil {
+		return nil, frame.Lose(frame.ReasonTimeout, "the time was up when the answer began")
+	}
 	if err := leaseOf(ctx).wait(ctx, sizeOf(r.ContentLength, limit)); err != nil {
 		return nil, frame.Lose(frame.ReasonMemory, "no memory for the answer in time")
 	}
