Resolve operations in one place

Cause: entry and outbound handler had the same look-up with the same refusals. Ruled out: sharing the whole middleware; their order differs. Change: peer.Resolve. Before: two copies.

--- a/backend/outbound.go
+++ b/backend/outbound.go
@@ -93,13 +93,9 @@
 func (o *Outbound) declared(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
 		out := req.(*outbound)
-		f := o.o.Board.InForce()
-		if f == nil {
-			return nil, frame.Refuse(frame.ReasonConfig, "no configuration in force yet")
-		}
-		op, ok := f.Policy().Operation(out.target)
-		if !ok {
-			return nil, frame.Refuse(frame.ReasonService, "unknown operation "+out.target.String())
+		op, err := peer.Resolve(o.o.Board, out.target)
+		if err != nil {
+			return nil, err
 		}
 		out.op = op
 		if out.span != nil && out.span.Operation().Declares(out.target) {
--- a/caller/entry.go
+++ b/caller/entry.go
@@ -150,13 +150,9 @@
 func (e *Entry) resolve(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
 		c := req.(*Call)
-		f := e.o.Board.InForce()
-		if f == nil {
-			return nil, frame.Refuse(frame.ReasonConfig, "no configuration in force yet")
-		}
-		op, ok := f.Policy().Operation(c.target)
-		if !ok {
-			return nil, frame.Refuse(frame.ReasonService, "unknown operation "+c.target.String())
+		op, err := peer.Resolve(e.o.Board, c.target)
+		if err != nil {
+			return nil, err
 		}
 		c.op = op
 		c.class = op.Class()
--- a/peer/body.go
+++ b/peer/body.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 
+	"dogwoodhead/board"
 	"dogwoodhead/frame"
+	"dogwoodhead/policy"
 )
 
 // ReadWhole reads a response body of at most limit bytes within the memory
@@ -63,6 +65,20 @@
 	return body, nil
 }
 
+// Resolve finds a declared operation in the policy in force. The error is a
+// *frame.OutcomeError with NotRun.
+func Resolve(b *board.Board, t frame.Target) (*policy.Operation, error) {
+	f := b.InForce()
+	if f == nil {
+		return nil, frame.Refuse(frame.ReasonConfig, "no configuration in force yet")
+	}
+	op, ok := f.Policy().Operation(t)
+	if !ok {
+		return nil, frame.Refuse(frame.ReasonService, "unknown operation "+t.String())
+	}
+	return op, nil
+}
+
 // sizeOf returns how much memory a body may need; a body of unknown length may
 // need the limit.
 func sizeOf(length, limit int64) int64 {
