admit: Give bursts of class 0 more places in the queue

Cause: with class 0 at 0.95 of the capacity and 5 times the load in all, bursts filled the queue with calls of class 0, some were shed, and 39 calls of lower classes were admitted right after. The tests had covered 0.9 only, while the requirement, below capacity, has no margin. Ruled out: leaving class 0 to the level alone while the queue has its configured length: 22 such calls were still admitted. Before: TestOverloadNearCapacity/5x fails, 39 instead of 0, 99.63% of class 0 answered.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -24,6 +24,9 @@
 	// pressure is the divisor of the queue length that calls of class 0 may
 	// take before trials of a lower limit stop.
 	pressure = 8
+	// firstClassQueue is how many times the configured queue calls of class 0 may
+	// take. Their deadlines bound the wait in it.
+	firstClassQueue = 4
 	// standing is how long a queue may stay non-empty before its delay is held
 	// to the target; a shorter queue is a burst.
 	standing = 100 * time.Millisecond
@@ -165,7 +168,7 @@
 		}
 		return nil, nil, frame.Refuse(v.reason, v.detail)
 	}
-	if g.queue.Len() >= g.limits.Queue {
+	if g.full(c) {
 		g.settle(g.queue.last(), frame.ReasonFull, "evicted by a more important call")
 	}
 	e := &entry{call: c, arrived: now, deadline: now.Add(c.Left), done: make(chan struct{})}
--- a/admit/overload_test.go
+++ b/admit/overload_test.go
@@ -135,6 +135,31 @@
 	}
 }
 
+// Guards against bookings and payouts that are shed, or overtaken by lower calls,
+// although they fit by a small margin on their own: "below capacity" has no
+// margin in the design page.
+func TestOverloadNearCapacity(t *testing.T) {
+	for _, load := range []float64{2, 5, 10} {
+		t.Run(fmt.Sprintf("%gx", load), func(t *testing.T) {
+			m := newModel(t, service(20), 20, 20*time.Millisecond)
+			m.load = during(load, 0.6)
+			const first = 0.95
+			usual, surge := m.make, m.mixed(first/load, 0.4*(1-first/load))
+			m.make = func() modelCall {
+				if m.now >= onset && m.now < relief {
+					return surge()
+				}
+				return usual()
+			}
+			inverted := m.inversions()
+			m.run(relief + recovery + 2*time.Second)
+			t.Logf("class 0 %.4f, inversions %d", m.served(0, onset, relief), *inverted)
+			require.Zero(t, *inverted, "lower calls admitted after class 0 was shed")
+			require.GreaterOrEqual(t, m.served(0, onset, relief), 0.99, "class 0 answered in time")
+		})
+	}
+}
+
 // Guards against a level that stays shut although the server is idle, because
 // the capacity was measured while it was slow.
 func TestLevelOpensWhenIdle(t *testing.T) {
