Build call clients and dependency lists once, and share what stood twice

Cause: read-through of the whole change: the go-kit client was built for each attempt and each call to the backend server, the list of dependencies at each admission; three places read a call's body in the same way, two packages had their own random id loop beside frame.NewID. Ruled out: one chain of middleware for entry, outbound and inbound calls; their order differs on purpose. Change: clients build their endpoint once; dependencies are computed with the subtree when a base is accepted; peer.ReadCall; frame.NewID takes the source of numbers and replaces both copies. Before: 460 allocations for a call of depth 1. After: 453 (BenchmarkCall).

--- a/backend/client.go
+++ b/backend/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/jonboulle/clockwork"
 
@@ -40,16 +41,20 @@
 type Client struct {
 	o    ClientOptions
 	http peer.Transport
+	// send is built once, because it is the same for every call.
+	send endpoint.Endpoint
 }
 
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
-	return &Client{o: o, http: peer.Transport{Transport: &http.Transport{
+	c := &Client{o: o, http: peer.Transport{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}}}
+	c.send = kithttp.NewExplicitClient(c.encode, c.decode, kithttp.SetClient(c.http)).Endpoint()
+	return c
 }
 
 // Close drops idle connections.
@@ -67,7 +72,7 @@
 func (c *Client) Run(ctx context.Context, s *peer.Span, r frame.Request) (frame.Answer, error) {
 	left := max(s.Deadline().Sub(c.o.Clock.Now()), 0)
 	j := job{context: s.Call().WithLeft(left), request: r, left: left}
-	got, err := kithttp.NewExplicitClient(c.encode, c.decode, kithttp.SetClient(c.http)).Endpoint()(ctx, j)
+	got, err := c.send(ctx, j)
 	if err != nil {
 		return frame.Answer{}, c.classify(ctx, err)
 	}
--- a/backend/outbound.go
+++ b/backend/outbound.go
@@ -114,11 +114,11 @@
 func (o *Outbound) read(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
 		out := req.(*outbound)
-		body, err := peer.ReadRequest(out.http, o.o.Board.InForce().Policy().Body())
+		request, err := peer.ReadCall(o.o.Board, out.http, out.target, out.step)
 		if err != nil {
 			return nil, err
 		}
-		out.request = frame.NewRequest(out.target, body, out.step)
+		out.request = request
 		return next(ctx, req)
 	}
 }
--- a/caller/entry.go
+++ b/caller/entry.go
@@ -196,11 +196,11 @@
 func (e *Entry) read(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
 		c := req.(*Call)
-		body, err := peer.ReadRequest(c.http, e.o.Board.InForce().Policy().Body())
+		request, err := peer.ReadCall(e.o.Board, c.http, c.target, "")
 		if err != nil {
 			return nil, err
 		}
-		c.body = frame.NewRequest(c.target, body, "")
+		c.body = request
 		return next(ctx, req)
 	}
 }
--- a/frame/attempt.go
+++ b/frame/attempt.go
@@ -19,7 +19,7 @@
 
 // NewIncarnation returns the incarnation of a VM's process with a random id.
 func NewIncarnation(vm string, r *rand.Rand) Incarnation {
-	return Incarnation{vm: vm, process: NewID(r)}
+	return Incarnation{vm: vm, process: NewID(r.Uint64)}
 }
 
 // VM returns the name of the VM.
--- a/frame/context.go
+++ b/frame/context.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -27,10 +26,10 @@
 // ID identifies a root call or a span. The zero value means "none".
 type ID uint64
 
-// NewID returns a random id that is not zero.
-func NewID(r *rand.Rand) ID {
+// NewID returns an id that is not zero, made of the numbers that next draws.
+func NewID(next func() uint64) ID {
 	for {
-		if id := ID(r.Uint64()); id != 0 {
+		if id := ID(next()); id != 0 {
 			return id
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -138,13 +138,13 @@
 		Contact: n.control.called, Observe: n.metrics.Inbound,
 	})
 	n.outbound = backend.NewOutbound(backend.OutboundOptions{
-		Clock: n.clock, Board: n.board, Spans: n.spans, Forward: n.forwarder.Do, NewID: newID,
+		Clock: n.clock, Board: n.board, Spans: n.spans, Forward: n.forwarder.Do, NewID: randomID,
 		Stray:      func(frame.Target) { n.metrics.Count("dogwood_stray_calls_total") },
 		Undeclared: n.undeclared,
 	})
 	n.entry = caller.New(caller.Options{
 		Clock: n.clock, Board: n.board, Levels: n.levels, Bucket: n.bucket, Callers: n.callers,
-		Forward: n.forwarder.Do, Issue: n.issue, NewID: newID, Observe: n.observeEntry, Fresh: n.control.member.Fresh,
+		Forward: n.forwarder.Do, Issue: n.issue, NewID: randomID, Observe: n.observeEntry, Fresh: n.control.member.Fresh,
 	})
 }
 
@@ -224,10 +224,4 @@
 	return key, eris.Wrap(err, "issue key")
 }
 
-func newID() frame.ID {
-	for {
-		if id := frame.ID(rand.Uint64()); id != 0 {
-			return id
-		}
-	}
-}
+func randomID() frame.ID { return frame.NewID(rand.Uint64) }
--- a/peer/body.go
+++ b/peer/body.go
@@ -65,6 +65,16 @@
 	return body, nil
 }
 
+// ReadCall reads the body of a call within the bounds of the policy in force,
+// which Resolve found. The error is that of ReadRequest.
+func ReadCall(b *board.Board, r *http.Request, t frame.Target, step string) (frame.Request, error) {
+	body, err := ReadRequest(r, b.InForce().Policy().Body())
+	if err != nil {
+		return frame.Request{}, err
+	}
+	return frame.NewRequest(t, body, step), nil
+}
+
 // Resolve finds a declared operation in the policy in force. The error is a
 // *frame.OutcomeError with NotRun.
 func Resolve(b *board.Board, t frame.Target) (*policy.Operation, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/jonboulle/clockwork"
 
@@ -69,6 +70,8 @@
 type Client struct {
 	o    ClientOptions
 	http Transport
+	// send is built once, because it is the same for every attempt.
+	send endpoint.Endpoint
 }
 
 // NewClient returns a client. Close it to drop idle connections.
@@ -76,13 +79,15 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext
 	}
-	return &Client{o: o, http: Transport{&http.Transport{
+	c := &Client{o: o, http: Transport{&http.Transport{
 		DialContext:         o.Dial,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: idleConnsPerPeer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}}}
+	c.send = kithttp.NewExplicitClient(c.request, c.decode, kithttp.SetClient(c.http)).Endpoint()
+	return c
 }
 
 // Close drops idle connections.
@@ -96,8 +101,7 @@
 	if err := c.sleep(ctx, a.vm.Zone()); err != nil {
 		return Reply{}, frame.Refuse(frame.ReasonCancelled, "before the attempt was sent")
 	}
-	client := kithttp.NewExplicitClient(c.request, c.decode, kithttp.SetClient(c.http))
-	got, err := client.Endpoint()(ctx, a)
+	got, err := c.send(ctx, a)
 	if err != nil {
 		return Reply{}, classify(ctx, a.vm, err)
 	}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -121,7 +121,7 @@
 	}
 	loan := out.Escrow.Lend(out.Op.Leaf())
 	left := out.Deadline.Sub(f.o.Clock.Now())
-	c, err := out.Context(newID(), max(left, 0), loan.Permits())
+	c, err := out.Context(frame.NewID(rand.Uint64), max(left, 0), loan.Permits())
 	if err != nil {
 		loan.Return(loan.Permits())
 		err = frame.Refuse(frame.ReasonGraph, err.Error())
@@ -206,12 +206,3 @@
 		return true
 	}
 }
-
-// newID returns a random id.
-func newID() frame.ID {
-	for {
-		if id := frame.ID(rand.Uint64()); id != 0 {
-			return id
-		}
-	}
-}
--- a/peer/server.go
+++ b/peer/server.go
@@ -195,11 +195,11 @@
 func (s *Server) read(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
 		in := req.(*incoming)
-		body, err := ReadRequest(in.http, s.o.Board.InForce().Policy().Body())
+		request, err := ReadCall(s.o.Board, in.http, in.target, in.step)
 		if err != nil {
 			return nil, err
 		}
-		in.request = frame.NewRequest(in.target, body, in.step)
+		in.request = request
 		return next(ctx, req)
 	}
 }
--- a/policy/graph.go
+++ b/policy/graph.go
@@ -101,6 +101,7 @@
 	for _, o := range ops {
 		g.checkDepth(o, depths)
 		o.subtree = g.reach(o)
+		o.dependencies = dependencies(o.calls)
 		if len(o.subtree) > maxSubtree {
 			g.refuse(o.target, []string{"calls"}, "more than %d operations are reachable from here", maxSubtree)
 			continue
@@ -202,3 +203,14 @@
 	}
 	return services
 }
+
+// dependencies returns the services of the calls, each once, in their order.
+func dependencies(calls []frame.Target) []string {
+	var names []string
+	for _, t := range calls {
+		if !slices.Contains(names, t.Service()) {
+			names = append(names, t.Service())
+		}
+	}
+	return names
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -175,6 +175,9 @@
 	// subtree holds every operation reachable from this one, itself first,
 	// each once. It is computed when the base is accepted.
 	subtree []frame.Target
+	// dependencies names the services in calls, each once. It is computed with
+	// subtree, because every admission asks for it.
+	dependencies []string
 }
 
 // Target returns the service and operation name.
@@ -194,19 +197,8 @@
 func (o *Operation) Calls() []frame.Target { return o.calls }
 
 // Dependencies returns the services that the operation calls directly, each
-// once.
-func (o *Operation) Dependencies() []string {
-	if len(o.calls) == 0 {
-		return nil
-	}
-	names := make([]string, 0, len(o.calls))
-	for _, t := range o.calls {
-		if !slices.Contains(names, t.Service()) {
-			names = append(names, t.Service())
-		}
-	}
-	return names
-}
+// once. The caller must not change the slice.
+func (o *Operation) Dependencies() []string { return o.dependencies }
 
 // Subtree returns every operation reachable from this one, itself first. The
 // caller must not change the slice.
