--- a/frame/answer.go
+++ b/frame/answer.go
@@ -24,7 +24,6 @@
 	HeaderCaller      = "Dogwood-Caller"
 	HeaderRequest     = "Dogwood-Request"
 	HeaderStep        = "Dogwood-Step"
-	HeaderCall        = "Dogwood-Call"
 )
 
 // Request is one call's body and what the caller sent with it.
