--- a/policy/graph.go
+++ b/policy/graph.go
@@ -11,6 +11,11 @@
 	"dogwoodhead/jsonc"
 )
 
+// maxSubtree bounds the operations reachable from one. An entry node looks at
+// the level of each of them for every call, and a document at the size limit
+// could otherwise ask for gigabytes of subtrees.
+const maxSubtree = 512
+
 // graph collects the declared operations of one base and checks their calls.
 type graph struct {
 	doc        *jsonc.Document
@@ -96,6 +101,10 @@
 	for _, o := range ops {
 		g.checkDepth(o, depths)
 		o.subtree = g.reach(o)
+		if len(o.subtree) > maxSubtree {
+			g.refuse(o.target, []string{"calls"}, "more than %d operations are reachable from here", maxSubtree)
+			continue
+		}
 		g.checkIdempotence(o)
 	}
 }
@@ -156,11 +165,11 @@
 }
 
 // reach returns the operations reachable from o, itself first, the others in
-// the order of a breadth-first walk.
+// the order of a breadth-first walk, which ends soon after maxSubtree.
 func (g *graph) reach(o *Operation) []frame.Target {
 	subtree := []frame.Target{o.target}
 	seen := map[frame.Target]bool{o.target: true}
-	for i := 0; i < len(subtree); i++ {
+	for i := 0; i < len(subtree) && len(subtree) <= maxSubtree; i++ {
 		for _, to := range g.operations[subtree[i]].calls {
 			if !seen[to] {
 				seen[to] = true
--- a/policy/merge_test.go
+++ b/policy/merge_test.go
@@ -252,6 +252,26 @@
 		fmt.Sprint(o.Subtree()))
 }
 
+// Guards against a document within the size limit whose subtrees take gigabytes.
+func TestSubtreeIsBounded(t *testing.T) {
+	operations := object{}
+	var calls []string
+	for i := range maxSubtree {
+		operations[fmt.Sprintf("leaf%d", i)] = object{"class": "c", "idempotent": true}
+		calls = append(calls, fmt.Sprintf("a/leaf%d", i))
+	}
+	operations["root"] = object{"class": "c", "idempotent": true, "calls": calls}
+	src, err := json.Marshal(object{"classes": []string{"c"}, "services": object{"a": object{"slots": 1, "operations": operations}}})
+	require.NoError(t, err)
+	_, err = ParseBase("base", src)
+	require.ErrorContains(t, err, "/services/a/operations/root/calls: more than 512 operations are reachable from here")
+	delete(operations, "leaf0")
+	operations["root"].(object)["calls"] = calls[1:]
+	src, err = json.Marshal(object{"classes": []string{"c"}, "services": object{"a": object{"slots": 1, "operations": operations}}})
+	require.NoError(t, err)
+	mustBase(t, string(src))
+}
+
 // Guards against defaults in the schema, and so in the reference, that differ
 // from those in the program.
 func TestDefaults(t *testing.T) {
