source: Move the client of the product's own documents out of platform

Cause: platform/ becomes the adapter of the users' platform, and two clients of different peers can't share its name. Ruled out: keeping both in one folder, which would mix the product's own format with the users'. Change: package platform is renamed to source; no behaviour changes. After: the tests of node, relay, member, peer and source pass. Conclusion: platform/ is free.

--- a/member/scale_test.go
+++ b/member/scale_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dogwoodhead/board"
-	"dogwoodhead/platform"
+	"dogwoodhead/source"
 	"dogwoodhead/relay"
 )
 
@@ -209,8 +209,8 @@
 		n := s.add(i, "zone", "service")
 		n.up = true
 		n.store = relay.NewStore(relay.StoreOptions{Site: simSite, Check: simCheck(s)})
-		var done func(platform.Value, error)
-		done = func(v platform.Value, _ error) { s.plat.watch(n, n.store, relay.KeyBase, v.Rev(), done) }
+		var done func(source.Value, error)
+		done = func(v source.Value, _ error) { s.plat.watch(n, n.store, relay.KeyBase, v.Rev(), done) }
 		s.plat.watch(n, n.store, relay.KeyBase, 0, done)
 	}
 	s.plat.reads = 0
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -15,7 +15,7 @@
 
 	"dogwoodhead/board"
 	"dogwoodhead/frame"
-	"dogwoodhead/platform"
+	"dogwoodhead/source"
 	"dogwoodhead/relay"
 )
 
@@ -73,7 +73,7 @@
 		nodes: make(map[string]*simNode), byAddr: make(map[string]*simNode), side: make(map[string]int), sent: make(map[string]int),
 		calls: map[string][]string{"front": {"middle"}, "middle": {"leaf"}},
 	}
-	s.plat = &simPlatform{sim: s, docs: make(map[string][]platform.Value), up: true}
+	s.plat = &simPlatform{sim: s, docs: make(map[string][]source.Value), up: true}
 	return s
 }
 
@@ -156,8 +156,8 @@
 		Pull: func(ctx context.Context, vm board.VM, r relay.PullRequest) (relay.PullReply, error) {
 			return deliver(s, n, vm.Control(), "pull", r, func(to *simNode, r relay.PullRequest) (relay.PullReply, error) { return to.relay.HandlePull(ctx, r) })
 		},
-		Read: func(_ context.Context, key string) (platform.Value, error) { return s.plat.read(n, key) },
-		Watch: func(key string, after uint64, _ time.Duration, done func(platform.Value, error)) {
+		Read: func(_ context.Context, key string) (source.Value, error) { return s.plat.read(n, key) },
+		Watch: func(key string, after uint64, _ time.Duration, done func(source.Value, error)) {
 			s.plat.watch(n, p.store, key, after, done)
 		},
 	})
@@ -262,7 +262,7 @@
 type simPlatform struct {
 	sim *sim
 	// docs holds all revisions of each key, in order.
-	docs map[string][]platform.Value
+	docs map[string][]source.Value
 	up   bool
 	// stale makes the service answer as it was some revisions ago.
 	stale    int
@@ -278,18 +278,18 @@
 	key   string
 	after uint64
 	until time.Time
-	done  func(platform.Value, error)
+	done  func(source.Value, error)
 }
 
 func (p *simPlatform) publish(key string, text []byte) {
-	p.docs[key] = append(p.docs[key], platform.NewValue(key, uint64(len(p.docs[key])+1), text))
+	p.docs[key] = append(p.docs[key], source.NewValue(key, uint64(len(p.docs[key])+1), text))
 }
 
 // current returns the value that the service shows now.
-func (p *simPlatform) current(key string) (platform.Value, bool) {
+func (p *simPlatform) current(key string) (source.Value, bool) {
 	i := len(p.docs[key]) - 1 - p.stale
 	if i < 0 {
-		return platform.Value{}, false
+		return source.Value{}, false
 	}
 	return p.docs[key][i], true
 }
@@ -298,19 +298,19 @@
 	return p.up && (p.sim.platSides == nil || p.sim.platSides[p.sim.side[n.vm.Name()]])
 }
 
-func (p *simPlatform) read(n *simNode, key string) (platform.Value, error) {
+func (p *simPlatform) read(n *simNode, key string) (source.Value, error) {
 	p.reads++
 	if !p.reachable(n) {
-		return platform.Value{}, &platform.UnavailableError{}
+		return source.Value{}, &source.UnavailableError{}
 	}
 	v, ok := p.current(key)
 	if !ok {
-		return platform.Value{}, &platform.NotFoundError{}
+		return source.Value{}, &source.NotFoundError{}
 	}
 	return v, nil
 }
 
-func (p *simPlatform) watch(n *simNode, store *relay.Store, key string, after uint64, done func(platform.Value, error)) {
+func (p *simPlatform) watch(n *simNode, store *relay.Store, key string, after uint64, done func(source.Value, error)) {
 	p.reads++
 	until := p.sim.clock.Now().Add(30 * time.Second)
 	p.watchers = append(p.watchers, simWatch{node: n, store: store, key: key, after: after, until: until, done: done})
@@ -328,10 +328,10 @@
 		var err error
 		switch {
 		case !p.reachable(w.node):
-			err = &platform.UnavailableError{}
+			err = &source.UnavailableError{}
 		case ok && v.Rev() > w.after:
 		case !now.Before(w.until):
-			err = platform.ErrUnchanged
+			err = source.ErrUnchanged
 		default:
 			return false
 		}
--- a/node/control.go
+++ b/node/control.go
@@ -17,7 +17,7 @@
 	"dogwoodhead/member"
 	"dogwoodhead/operator"
 	"dogwoodhead/peer"
-	"dogwoodhead/platform"
+	"dogwoodhead/source"
 	"dogwoodhead/policy"
 	"dogwoodhead/relay"
 )
@@ -36,8 +36,8 @@
 type control struct {
 	n        *Node
 	set      *metrics.Set
-	platform *platform.Client
-	watcher  *platform.Watcher
+	platform *source.Client
+	watcher  *source.Watcher
 	client   *peer.ControlClient
 	server   *peer.ControlServer
 	workers  *board.Workers[func(context.Context)]
@@ -52,8 +52,8 @@
 
 func newControl(n *Node) *control {
 	c := &control{n: n, set: metrics.NewSet(), asked: make(map[string]time.Time)}
-	c.platform = platform.NewClient(platform.Options{Addr: strings.TrimPrefix(n.set.Platform(), "http://")})
-	c.watcher = platform.NewWatcher(c.platform)
+	c.platform = source.NewClient(source.Options{Addr: strings.TrimPrefix(n.set.Platform(), "http://")})
+	c.watcher = source.NewWatcher(c.platform)
 	c.client = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: c.set, Dial: n.dial})
 	c.workers = board.NewWorkers(controlWorkers, controlQueue, func(ctx context.Context, task func(context.Context)) { task(ctx) })
 	c.store = relay.NewStore(relay.StoreOptions{Site: n.set.Site(), Check: checkDocument, Apply: c.apply})
--- a/relay/read.go
+++ b/relay/read.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"dogwoodhead/platform"
+	"dogwoodhead/source"
 )
 
 const (
@@ -57,7 +57,7 @@
 		}
 		w.active = true
 		r.counts.reads.Inc()
-		r.o.Watch(key, r.o.Store.Seen(key), watchWait, func(v platform.Value, err error) {
+		r.o.Watch(key, r.o.Store.Seen(key), watchWait, func(v source.Value, err error) {
 			r.watched(key, v, err)
 		})
 	}
@@ -98,11 +98,11 @@
 }
 
 // watched takes the result of a watch.
-func (r *Relay) watched(key string, v platform.Value, err error) {
+func (r *Relay) watched(key string, v source.Value, err error) {
 	r.mu.Lock()
 	w := r.watches[key]
 	w.active = false
-	if err == nil || errors.Is(err, platform.ErrUnchanged) {
+	if err == nil || errors.Is(err, source.ErrUnchanged) {
 		w.failures = 0
 		w.next = r.o.Clock.Now()
 	} else {
@@ -118,11 +118,11 @@
 
 // backoff returns how long to wait after a number of failures in a row.
 func backoff(err error, failures int) time.Duration {
-	var throttled *platform.ThrottledError
+	var throttled *source.ThrottledError
 	if errors.As(err, &throttled) {
 		return max(throttled.After()*5/4, throttleBackoff)
 	}
-	var missing *platform.NotFoundError
+	var missing *source.NotFoundError
 	if errors.As(err, &missing) {
 		return missingBackoff
 	}
@@ -169,7 +169,7 @@
 	for _, key := range keys {
 		r.counts.reads.Inc()
 		v, err := r.o.Read(ctx, key)
-		var missing *platform.NotFoundError
+		var missing *source.NotFoundError
 		if key == r.o.Store.overlay && (err == nil || errors.As(err, &missing)) {
 			r.mu.Lock()
 			r.overlayRead = true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"dogwoodhead/board"
-	"dogwoodhead/platform"
+	"dogwoodhead/source"
 )
 
 const (
@@ -58,10 +58,10 @@
 	Push func(context.Context, board.VM, PushRequest) (PushReply, error)
 	Pull func(context.Context, board.VM, PullRequest) (PullReply, error)
 	// Read reads the platform.
-	Read func(ctx context.Context, key string) (platform.Value, error)
+	Read func(ctx context.Context, key string) (source.Value, error)
 	// Watch starts a watch and returns. It calls done once with the result, not
 	// before it has returned.
-	Watch func(key string, after uint64, wait time.Duration, done func(platform.Value, error))
+	Watch func(key string, after uint64, wait time.Duration, done func(source.Value, error))
 	// Go runs a task on the pool of workers, and reports false where its queue
 	// is full. It is called under the relay's lock, so it must neither block nor
 	// run the task itself.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -14,7 +14,7 @@
 
 	"dogwoodhead/board"
 	"dogwoodhead/frame"
-	"dogwoodhead/platform"
+	"dogwoodhead/source"
 )
 
 // single is one relay whose tasks wait in a queue and whose peers are a function.
@@ -43,8 +43,8 @@
 			s.pulls = append(s.pulls, q)
 			return s.answer(q)
 		},
-		Read:  func(context.Context, string) (platform.Value, error) { return platform.Value{}, errBad },
-		Watch: func(string, uint64, time.Duration, func(platform.Value, error)) {},
+		Read:  func(context.Context, string) (source.Value, error) { return source.Value{}, errBad },
+		Watch: func(string, uint64, time.Duration, func(source.Value, error)) {},
 		Go:    func(task func(context.Context)) bool { s.tasks = append(s.tasks, task); return true },
 	})
 	return s
