mesh: Serve the users' platform: the thin whole path

Change: packages catalog (what a node believes of configuration and backend servers), h1 (an HTTP/1.1 client that never sends a request twice), platform (adapter of names, formats and calls), mesh (entry, seat beside the backend server, exchange between nodes), settings of mesh, deploy/system.toml. Ruled out: the Transport of net/http, which resends a GET whose kept connection broke.

--- a/board/member.go
+++ b/board/member.go
@@ -14,6 +14,7 @@
 	service string
 	call    string
 	control string
+	slots   int
 	leaving bool
 }
 
@@ -31,6 +32,9 @@
 	Call string `json:"call"`
 	// Control is the node's ip:port for JSON-RPC.
 	Control string `json:"control"`
+	// Slots is how many calls the backend server works on at a time; 0 where the
+	// list does not say.
+	Slots int `json:"slots,omitempty"`
 	// Leaving says that the platform is about to take the VM away.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -39,7 +43,7 @@
 func NewVM(f VMFields) VM {
 	return VM{
 		name: f.Name, zone: f.Zone, region: f.Region, service: f.Service,
-		call: f.Call, control: f.Control, leaving: f.Leaving,
+		call: f.Call, control: f.Control, slots: f.Slots, leaving: f.Leaving,
 	}
 }
 
@@ -47,7 +51,7 @@
 func (v VM) Fields() VMFields {
 	return VMFields{
 		Name: v.name, Zone: v.zone, Region: v.region, Service: v.service,
-		Call: v.call, Control: v.control, Leaving: v.leaving,
+		Call: v.call, Control: v.control, Slots: v.slots, Leaving: v.leaving,
 	}
 }
 
@@ -69,6 +73,10 @@
 // Control returns the ip:port for JSON-RPC.
 func (v VM) Control() string { return v.control }
 
+// Slots returns how many calls the backend server works on at a time, 0 where
+// the list does not say.
+func (v VM) Slots() int { return v.slots }
+
 // Leaving reports whether the list says that the VM is leaving.
 func (v VM) Leaving() bool { return v.leaving }
 
--- /dev/null
+++ b/catalog/follow.go
@@ -0,0 +1,144 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. It bounds how long a
+	// watch whose answer was lost goes unnoticed.
+	watchWait = 3 * time.Second
+	// firstPause and lastPause bound the wait after a failed call.
+	firstPause = 150 * time.Millisecond
+	lastPause  = time.Second
+)
+
+// ErrCompacted says that the store no longer has the history that a watch
+// asked for.
+var ErrCompacted = errors.New("history is no longer available")
+
+// FollowerOptions configures a Follower. All fields are required.
+type FollowerOptions struct {
+	Clock clockwork.Clock
+	View  *View
+	// Config reads the configuration; nil without an error where there is none yet.
+	Config func(ctx context.Context) (*Config, error)
+	// List reads all backend servers.
+	List func(ctx context.Context) (Listing, error)
+	// Watch returns the changes after a revision and the revision up to which
+	// they are complete, as soon as there is one or after the wait.
+	Watch func(ctx context.Context, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// Connected is told each time that the store is lost, with the error, or
+	// regained, with nil.
+	Connected func(err error)
+	// Random returns a number in [0, 1).
+	Random func() float64
+}
+
+// Follower keeps a View in line with the platform's store.
+type Follower struct {
+	o  FollowerOptions
+	up atomic.Bool
+	// missed says that the store was lost since the last successful call.
+	missed bool
+}
+
+// NewFollower returns a follower that does not run yet.
+func NewFollower(o FollowerOptions) *Follower {
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	return &Follower{o: o}
+}
+
+// Up reports whether the last call to the store succeeded.
+func (f *Follower) Up() bool { return f.up.Load() }
+
+// Run reads the store and follows its changes until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	listed := false
+	failures := 0
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = f.read(ctx)
+			listed = err == nil
+		} else {
+			err = f.watch(ctx)
+			listed = !errors.Is(err, ErrCompacted)
+		}
+		if err == nil || errors.Is(err, ErrCompacted) {
+			failures = 0
+			continue
+		}
+		f.lost(err)
+		f.pause(ctx, failures)
+		failures++
+	}
+}
+
+// read takes over the whole state. The configuration is read last, so that it
+// is not older than the list.
+func (f *Follower) read(ctx context.Context) error {
+	l, err := f.o.List(ctx)
+	if err != nil {
+		return err
+	}
+	c, err := f.o.Config(ctx)
+	if err != nil {
+		return err
+	}
+	f.regained()
+	if c != nil {
+		f.o.View.Offer(c)
+	}
+	f.o.View.Replace(l)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	events, rev, err := f.o.Watch(ctx, f.o.View.Rev(), watchWait)
+	if err != nil {
+		return err
+	}
+	f.regained()
+	f.o.View.Apply(events, rev)
+	return nil
+}
+
+func (f *Follower) regained() {
+	if f.up.Swap(true) {
+		return
+	}
+	if f.missed {
+		f.o.View.Returned()
+	}
+	f.missed = false
+	f.o.Connected(nil)
+}
+
+func (f *Follower) lost(err error) {
+	f.missed = true
+	if f.up.Swap(false) {
+		f.o.Connected(err)
+	}
+}
+
+// pause waits before the next call, longer after each failure.
+func (f *Follower) pause(ctx context.Context, failures int) {
+	d := firstPause
+	for range failures {
+		d = min(2*d, lastPause)
+	}
+	d = d/2 + time.Duration(f.o.Random()*float64(d)/2)
+	select {
+	case <-ctx.Done():
+	case <-f.o.Clock.After(d):
+	}
+}
--- a/cmd/dogwoodhead/root.go
+++ b/cmd/dogwoodhead/root.go
@@ -38,6 +38,7 @@
 		newShowCommand(),
 		newVersionCommand(),
 		newNodeCommand(),
+		newMeshCommand(),
 		newStatusCommand(),
 		newExplainCommand(),
 	)
--- /dev/null
+++ b/h1/error.go
@@ -0,0 +1,22 @@
+package h1
+
+import "fmt"
+
+// Error reports a request without a complete response.
+type Error struct {
+	addr string
+	sent bool
+	what string
+	err  error
+}
+
+// Addr returns the server's ip:port.
+func (e *Error) Addr() string { return e.addr }
+
+// Sent reports whether bytes of the request may have reached the server.
+func (e *Error) Sent() bool { return e.sent }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+func (e *Error) Error() string { return fmt.Sprintf("%s %s: %v", e.what, e.addr, e.err) }
--- /dev/null
+++ b/mesh/call.go
@@ -0,0 +1,250 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dogwoodhead/catalog"
+	"dogwoodhead/frame"
+	"dogwoodhead/platform"
+)
+
+const (
+	// headerHop carries what a node tells the next one about a request.
+	headerHop = "Dogwood-Hop"
+	// ownPrefix begins the headers of the product, which no caller may set.
+	ownPrefix = "Dogwood-"
+	// keptBody is the largest body in bytes that is read whole before it is sent
+	// on. A request with a larger one can't be sent again, and a response with a
+	// larger one is passed on while it arrives.
+	keptBody = 64 << 10
+)
+
+// call is one request on its way through a node.
+type call struct {
+	id string
+	// method, target, host and header are what the caller sent; header holds only
+	// what is passed on.
+	method, target, host string
+	header               http.Header
+	// body is the whole body; stream has it where it is too large to keep.
+	body   []byte
+	stream io.Reader
+	length int64
+	// service is where the request runs.
+	service string
+	route   string
+	// origin is the service of the VM on which the request began.
+	origin     string
+	idempotent bool
+	// class orders requests at the backend server, 0 is the most important.
+	class int
+	// repeat says that the request is part of work that is done once more.
+	repeat bool
+	// deadline is on this node's clock.
+	deadline time.Time
+	// objective is the latency within which the response has its full value; 0
+	// at the node beside the backend server.
+	objective time.Duration
+}
+
+// errTooLarge says that a body exceeds the configured limit.
+var errTooLarge = errors.New("body is too large")
+
+// readBody reads a body that is small enough to keep, or leaves it as a stream.
+func (c *call) readBody(r *http.Request, limit int64) error {
+	switch {
+	case r.ContentLength == 0:
+		return nil
+	case limit > 0 && r.ContentLength > limit:
+		return errTooLarge
+	case r.ContentLength > keptBody:
+		c.stream, c.length = r.Body, r.ContentLength
+		return nil
+	}
+	kept, err := io.ReadAll(io.LimitReader(r.Body, keptBody+1))
+	if err != nil {
+		return err
+	}
+	if len(kept) <= keptBody {
+		c.body = kept
+		return nil
+	}
+	rest := io.Reader(r.Body)
+	if limit > 0 {
+		rest = &limited{in: r.Body, left: limit - int64(len(kept))}
+	}
+	c.stream, c.length = io.MultiReader(strings.NewReader(string(kept)), rest), -1
+	return nil
+}
+
+// limited fails once more than left bytes were read.
+type limited struct {
+	in   io.Reader
+	left int64
+}
+
+func (l *limited) Read(p []byte) (int, error) {
+	n, err := l.in.Read(p)
+	l.left -= int64(n)
+	if l.left < 0 {
+		return 0, errTooLarge
+	}
+	return n, err
+}
+
+// hop encodes what the next node needs besides the request itself.
+func (c *call) hop() string {
+	flags := []byte{'n', 'f'}
+	if c.idempotent {
+		flags[0] = 'i'
+	}
+	if c.repeat {
+		flags[1] = 'r'
+	}
+	return strconv.Itoa(c.class) + ";" + string(flags) + ";" + c.route
+}
+
+// parseHop reads what hop wrote.
+func (c *call) parseHop(s string) error {
+	class, rest, ok := strings.Cut(s, ";")
+	flags, route, ok2 := strings.Cut(rest, ";")
+	n, err := strconv.Atoi(class)
+	if !ok || !ok2 || len(flags) != 2 || err != nil || n < 0 || n > frame.MaxClass {
+		return errors.New(headerHop + " is malformed")
+	}
+	c.class, c.route = n, route
+	c.idempotent = flags[0] == 'i'
+	c.repeat = flags[1] == 'r'
+	return nil
+}
+
+// left returns the time left until the deadline.
+func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
+
+// operation names the route for estimates of its duration.
+func (c *call) operation() frame.Target {
+	t, err := frame.NewTarget(c.service, c.route)
+	if err != nil {
+		// Estimates of routes with other names are shared.
+		return frame.Target{}
+	}
+	return t
+}
+
+// stampDeadline writes the time left into the header, at least a millisecond.
+func stampDeadline(h http.Header, left time.Duration) {
+	h.Set(platform.HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+}
+
+// perHop are the headers that concern one connection.
+var perHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwarded returns the headers of a message that are passed on.
+func forwarded(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !strings.HasPrefix(name, ownPrefix) {
+			out[name] = values
+		}
+	}
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range perHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// answer is a response, whole or with the rest of its body on its way.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	// stream is the body where it is too large to keep; nil otherwise. It must
+	// be closed. length is its length in bytes, negative where it is not known.
+	stream io.ReadCloser
+	length int64
+}
+
+// result is what became of one attempt.
+type result struct {
+	outcome frame.Outcome
+	reason  frame.Reason
+	detail  string
+	// answer is set where outcome is Answered.
+	answer *answer
+	// feedback is what the node beside the backend server says of itself; nil
+	// where it said nothing.
+	feedback *frame.Feedback
+}
+
+func refused(reason frame.Reason, detail string) result {
+	return result{outcome: frame.NotRun, reason: reason, detail: detail}
+}
+
+func lost(reason frame.Reason, detail string) result {
+	return result{outcome: frame.Unknown, reason: reason, detail: detail}
+}
+
+// err returns the result as an error of package frame, nil for an answer.
+func (r result) err() error {
+	switch r.outcome {
+	case frame.Answered:
+		return nil
+	case frame.NotRun:
+		return frame.Refuse(r.reason, r.detail)
+	default:
+		return frame.Lose(r.reason, r.detail)
+	}
+}
+
+// reasonOf tells why ctx ended.
+func reasonOf(ctx context.Context, otherwise frame.Reason) frame.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return frame.ReasonTimeout
+	case ctx.Err() != nil:
+		return frame.ReasonCancelled
+	}
+	return otherwise
+}
+
+// pathOf returns the path of a request target without its query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// originForm turns an absolute request target into the form that servers take.
+func originForm(target string) string {
+	rest, ok := strings.CutPrefix(target, "http://")
+	if !ok {
+		return target
+	}
+	if i := strings.IndexByte(rest, '/'); i >= 0 {
+		return rest[i:]
+	}
+	return "/"
+}
+
+// classOf maps a route's priority to a class. Requests of running work go
+// before new work of the same priority.
+func classOf(r *catalog.Route, inner bool) int {
+	class := 2 * r.Priority
+	if !inner {
+		class++
+	}
+	return min(class, frame.MaxClass)
+}
--- /dev/null
+++ b/mesh/run.go
@@ -0,0 +1,200 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhead/platform"
+)
+
+const (
+	// gateTick is the period of the admission control's decisions.
+	gateTick = 100 * time.Millisecond
+	// sweepInterval is how often idle connections are looked through.
+	sweepInterval = time.Second
+	// headTimeout bounds the reading of a request's head where the configuration
+	// sets no bound, and keepIdle the time between two requests.
+	headTimeout = 10 * time.Second
+	keepIdle    = 2 * time.Minute
+	// lingerPart is the part of the grace during which a stopping node still
+	// takes the requests of callers that have not yet noticed.
+	lingerPart = 0.5
+	// exitMargin is kept from the grace to end by itself.
+	exitMargin = 700 * time.Millisecond
+	// settlePoll is how often a stop looks for requests in progress.
+	settlePoll = 20 * time.Millisecond
+)
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stopWork()
+	failed := make(chan error, 8)
+	call := newListener("call", net.JoinHostPort(n.set.IP(), strconv.Itoa(n.set.CallPort())), n.server)
+	outbound := newListener("outbound", n.set.Outbound(), n.entry)
+	ready := newListener("ready", n.set.Ready(), http.HandlerFunc(n.ready))
+	operators := newListener("operator", n.set.Operator(), http.HandlerFunc(n.serveMetrics))
+	all := []*listener{call, outbound, ready, operators}
+	for _, l := range all {
+		if err := l.listen(failed); err != nil {
+			return err
+		}
+	}
+	control, err := net.Listen("tcp", net.JoinHostPort(n.set.IP(), strconv.Itoa(n.set.ControlPort())))
+	if err != nil {
+		return eris.Wrap(err, "listen for control")
+	}
+	metrics.RegisterSet(n.controlSet)
+	defer metrics.UnregisterSet(n.controlSet, true)
+	wg.Go(func() {
+		if err := n.controlServer.Serve(work, control); err != nil {
+			failed <- err
+		}
+	})
+	wg.Go(func() { n.controlClient.Run(work) })
+	wg.Go(func() { n.follower.Run(work) })
+	wg.Go(func() { n.syncer.run(work) })
+	wg.Go(func() { n.tick(work) })
+	n.log.WithFields(logrus.Fields{
+		"vm": n.set.VM(), "service": n.set.Service(), "zone": n.set.Zone(), "version": n.version,
+		"incarnation": n.board.Self().Incarnation().String(),
+	}).Info("start")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	n.stop(call, outbound, all)
+	return nil
+}
+
+// tick drives what happens periodically.
+func (n *Node) tick(ctx context.Context) {
+	t := n.clock.NewTicker(gateTick)
+	defer t.Stop()
+	swept := n.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+		}
+		n.gate.Tick()
+		if n.clock.Since(swept) < sweepInterval {
+			continue
+		}
+		swept = n.clock.Now()
+		n.view.Tick()
+		n.peers.Sweep()
+		n.backend.Sweep()
+		n.store.Sweep()
+	}
+}
+
+// ready answers the platform: a node is ready once it knows a configuration and
+// until it stops.
+func (n *Node) ready(w http.ResponseWriter, r *http.Request) {
+	w.Header()["Date"] = nil
+	switch {
+	case r.URL.Path != platform.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case n.leaving.Load() || n.view.Config() == nil || n.board.Members().Len() == 0:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, true)
+}
+
+// stop ends the node: no new work for the backend server, callers are served
+// while they still come, and every request that was read is answered.
+func (n *Node) stop(call, outbound *listener, all []*listener) {
+	started := n.clock.Now()
+	n.log.WithFields(logrus.Fields{"calls": call.open(), "requests": outbound.open()}).Info("stopping")
+	n.leaving.Store(true)
+	grace := time.Duration(n.grace.Load())
+	end := started.Add(grace - exitMargin)
+	n.await(started.Add(time.Duration(lingerPart*float64(grace))), func() bool { return false })
+	outbound.refuse()
+	n.await(end, func() bool { return outbound.open() == 0 && call.open() == 0 })
+	for _, l := range all {
+		_ = l.server.Close()
+	}
+	n.log.WithFields(logrus.Fields{
+		"took": n.clock.Since(started).Milliseconds(), "calls": call.open(), "requests": outbound.open(),
+	}).Info("stop")
+}
+
+// await waits until a time or until done.
+func (n *Node) await(until time.Time, done func() bool) {
+	for n.clock.Now().Before(until) && !done() {
+		n.clock.Sleep(settlePoll)
+	}
+}
+
+// listener is one HTTP interface of the node.
+type listener struct {
+	name    string
+	address string
+	server  *http.Server
+	ln      net.Listener
+
+	mu sync.Mutex
+	// busy holds the connections that have a request or may send their first.
+	busy map[net.Conn]struct{}
+}
+
+func newListener(name, address string, h http.Handler) *listener {
+	l := &listener{name: name, address: address, busy: make(map[net.Conn]struct{})}
+	l.server = &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: keepIdle, ConnState: l.observe}
+	return l
+}
+
+func (l *listener) observe(c net.Conn, s http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s == http.StateNew || s == http.StateActive {
+		l.busy[c] = struct{}{}
+		return
+	}
+	delete(l.busy, c)
+}
+
+func (l *listener) listen(failed chan<- error) error {
+	ln, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
+	}
+	l.ln = ln
+	go func() {
+		err := l.server.Serve(ln)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			failed <- eris.Wrapf(err, "serve %s", l.name)
+		}
+	}()
+	return nil
+}
+
+// refuse takes no more connections.
+func (l *listener) refuse() { _ = l.ln.Close() }
+
+func (l *listener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.busy)
+}
--- /dev/null
+++ b/mesh/seat.go
@@ -0,0 +1,199 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhead/admit"
+	"dogwoodhead/catalog"
+	"dogwoodhead/frame"
+	"dogwoodhead/h1"
+	"dogwoodhead/operator"
+	"dogwoodhead/platform"
+)
+
+// seatOptions configures a seat. All fields are required.
+type seatOptions struct {
+	clock   clockwork.Clock
+	log     *logrus.Logger
+	gate    *admit.Gate
+	http    *h1.Client
+	metrics *operator.Metrics
+	// address is the backend server's ip:port.
+	address string
+	// leaving reports whether the node takes no new work for its backend server.
+	leaving func() bool
+}
+
+// seat runs requests at the backend server beside this node.
+type seat struct {
+	o seatOptions
+	// server is the backend server's entry in the list, nil while there is none.
+	server atomic.Pointer[catalog.Server]
+
+	mu sync.Mutex
+	// running holds the requests at the backend server by id.
+	running map[string]*call
+}
+
+func newSeat(o seatOptions) *seat {
+	return &seat{o: o, running: make(map[string]*call)}
+}
+
+// parent returns the running request that made the request with the id, nil
+// where none is known. Backend servers name their own requests after the one
+// that they work on; that is a hint on which nothing rests that must hold.
+func (s *seat) parent(id string) *call {
+	i := strings.LastIndexByte(id, '.')
+	if i < 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[id[:i]]
+}
+
+// run passes a request to the backend server once a slot is free.
+func (s *seat) run(ctx context.Context, c *call, instance string) result {
+	started := s.o.clock.Now()
+	r := s.admit(ctx, c, instance)
+	took := s.o.clock.Since(started)
+	r.feedback = s.feedback()
+	s.o.metrics.Inbound(c.operation(), className(c.class), r.outcome, r.reason, took)
+	s.logRun(c, instance, r, took)
+	return r
+}
+
+func (s *seat) feedback() *frame.Feedback {
+	return &frame.Feedback{Load: s.o.gate.Load(), Leaving: s.o.leaving()}
+}
+
+// admit waits for a slot.
+func (s *seat) admit(ctx context.Context, c *call, instance string) result {
+	if s.o.leaving() {
+		return refused(frame.ReasonLeaving, "the node is stopping")
+	}
+	if own := s.server.Load(); own != nil && own.ID == instance && own.Draining {
+		return refused(frame.ReasonDraining, "the backend server is draining")
+	}
+	ticket, err := s.o.gate.Enter(ctx, admit.Call{
+		Priority: frame.NewLevel(c.class, 0),
+		Left:     c.left(s.o.clock.Now()),
+		Target:   c.operation(),
+	})
+	var refusal *frame.OutcomeError
+	if errors.As(err, &refusal) {
+		return refused(refusal.Reason(), refusal.Detail())
+	}
+	r := s.exchange(ctx, c, instance)
+	if r.answer != nil && r.answer.stream != nil {
+		r.answer.stream = &releasing{ReadCloser: r.answer.stream, release: func() { ticket.Leave(true) }}
+		return r
+	}
+	ticket.Leave(r.outcome == frame.Answered)
+	return r
+}
+
+// releasing frees the slot when the body ends.
+type releasing struct {
+	io.ReadCloser
+	once    sync.Once
+	release func()
+}
+
+func (r *releasing) Close() error {
+	err := r.ReadCloser.Close()
+	r.once.Do(r.release)
+	return err
+}
+
+// exchange sends the request to the backend server and reads its response.
+func (s *seat) exchange(ctx context.Context, c *call, instance string) result {
+	s.enter(c)
+	defer s.leave(c)
+	h := c.header.Clone()
+	stampDeadline(h, c.left(s.o.clock.Now()))
+	h.Set(platform.HeaderInstance, instance)
+	h.Set(platform.HeaderCaller, c.origin)
+	resp, err := s.o.http.Do(ctx, s.o.address, &h1.Request{
+		Method: c.method, Target: c.target, Host: c.host, Header: h,
+		Body: c.body, Stream: c.stream, Length: c.length,
+	})
+	var failed *h1.Error
+	if errors.As(err, &failed) && !failed.Sent() {
+		return refused(reasonOf(ctx, frame.ReasonDial), err.Error())
+	}
+	if err != nil {
+		return lost(reasonOf(ctx, frame.ReasonLost), err.Error())
+	}
+	if resp.Header.Get(platform.HeaderNotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
+		_ = drain(resp.Body)
+		return refused(frame.ReasonDown, "the backend server answered "+http.StatusText(resp.Status)+" without running the request")
+	}
+	return receive(resp)
+}
+
+func (s *seat) enter(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[c.id] = c
+}
+
+func (s *seat) leave(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[c.id] == c {
+		delete(s.running, c.id)
+	}
+}
+
+func (s *seat) logRun(c *call, instance string, r result, took time.Duration) {
+	load := r.feedback.Load
+	s.o.log.WithFields(logrus.Fields{
+		"request": c.id, "route": c.route, "class": c.class, "instance": instance,
+		"outcome": r.outcome.String(), "reason": string(r.reason), "detail": r.detail,
+		"left": c.left(s.o.clock.Now()).Milliseconds(), "took": took.Milliseconds(), "load": load.String(),
+	}).Log(levelOf(r.outcome), "run")
+}
+
+// receive reads the body of a response, whole where it is small.
+func receive(resp *h1.Response) result {
+	a := &answer{status: resp.Status, header: resp.Header, length: resp.Length}
+	if resp.Length > keptBody {
+		a.stream = resp.Body
+		return result{outcome: frame.Answered, answer: a}
+	}
+	kept, err := io.ReadAll(io.LimitReader(resp.Body, keptBody+1))
+	if err != nil {
+		_ = resp.Body.Close()
+		return lost(frame.ReasonPartial, err.Error())
+	}
+	if len(kept) > keptBody {
+		a.stream = &prefixed{Reader: io.MultiReader(strings.NewReader(string(kept)), resp.Body), Closer: resp.Body}
+		return result{outcome: frame.Answered, answer: a}
+	}
+	_ = resp.Body.Close()
+	a.body, a.length = kept, int64(len(kept))
+	return result{outcome: frame.Answered, answer: a}
+}
+
+// prefixed is a body of which a part was read already.
+type prefixed struct {
+	io.Reader
+	io.Closer
+}
+
+// drain reads a short body to its end, so that its connection is kept.
+func drain(body io.ReadCloser) error {
+	_, err := io.Copy(io.Discard, io.LimitReader(body, keptBody))
+	return errors.Join(err, body.Close())
+}
--- /dev/null
+++ b/mesh/split.go
@@ -0,0 +1,61 @@
+package mesh
+
+import (
+	"sync"
+
+	"dogwoodhead/catalog"
+)
+
+// splitter distributes the requests of a route over its shares by smooth
+// weighted round robin, so that the proportions hold also over few requests.
+type splitter struct {
+	mu sync.Mutex
+	// credit is what each share is owed, by route and service.
+	credit map[string]map[string]float64
+	// random returns a number in [0, 1); each node starts at another point.
+	random func() float64
+}
+
+func newSplitter(random func() float64) *splitter {
+	return &splitter{credit: make(map[string]map[string]float64), random: random}
+}
+
+// configure forgets the routes of earlier configurations.
+func (s *splitter) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.credit)
+}
+
+// pick returns the service of the next request.
+func (s *splitter) pick(r *catalog.Route) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	credit := s.credit[r.Name]
+	total := 0.0
+	for _, sh := range r.Shares {
+		total += sh.Weight
+	}
+	if credit == nil {
+		credit = make(map[string]float64, len(r.Shares))
+		for _, sh := range r.Shares {
+			credit[sh.Service] = (s.random() - 0.5) * total
+		}
+		s.credit[r.Name] = credit
+	}
+	best := ""
+	for _, sh := range r.Shares {
+		credit[sh.Service] += sh.Weight
+		if sh.Weight > 0 && (best == "" || credit[sh.Service] > credit[best]) {
+			best = sh.Service
+		}
+	}
+	if best == "" {
+		return r.Shares[0].Service
+	}
+	credit[best] -= total
+	return best
+}
--- a/peer/control.go
+++ b/peer/control.go
@@ -22,6 +22,7 @@
 	methodLeave = "leave"
 	methodPush  = "push"
 	methodPull  = "pull"
+	methodView  = "view"
 )
 
 const (
@@ -47,13 +48,16 @@
 	OK bool `json:"ok"`
 }
 
-// Handlers are what a node does with control messages. All fields are set.
+// Handlers are what a node does with control messages. A method whose field is
+// nil is not served.
 type Handlers struct {
 	// Hello and Beat return the node's own state.
 	Hello, Beat func(context.Context, member.State) (member.State, error)
 	Leave       func(context.Context, member.State) error
 	Push        func(context.Context, relay.PushRequest) (relay.PushReply, error)
 	Pull        func(context.Context, relay.PullRequest) (relay.PullReply, error)
+	// View exchanges what two nodes know of the platform's store.
+	View func(context.Context, ViewRequest) (ViewReply, error)
 }
 
 // handle decodes the parameters, runs the handler and returns its result.
@@ -64,19 +68,30 @@
 	case methodBeat:
 		return serve(ctx, req, h.Beat)
 	case methodLeave:
-		return serve(ctx, req, func(ctx context.Context, s member.State) (ack, error) {
-			return ack{OK: true}, h.Leave(ctx, s)
-		})
+		return serve(ctx, req, acknowledge(h.Leave))
 	case methodPush:
 		return serve(ctx, req, h.Push)
 	case methodPull:
 		return serve(ctx, req, h.Pull)
+	case methodView:
+		return serve(ctx, req, h.View)
 	default:
 		return nil, fmt.Errorf("%w: %q", jsonrpc2.ErrMethodNotFound, req.Method)
 	}
 }
 
+// acknowledge turns a handler without a result into one that answers ack.
+func acknowledge[Q any](f func(context.Context, Q) error) func(context.Context, Q) (ack, error) {
+	if f == nil {
+		return nil
+	}
+	return func(ctx context.Context, q Q) (ack, error) { return ack{OK: true}, f(ctx, q) }
+}
+
 func serve[Q, A any](ctx context.Context, req *jsonrpc2.Request, f func(context.Context, Q) (A, error)) (any, error) {
+	if f == nil {
+		return nil, fmt.Errorf("%w: %q", jsonrpc2.ErrMethodNotFound, req.Method)
+	}
 	var q Q
 	if len(req.Params) == 0 {
 		return nil, fmt.Errorf("%w: %s: no parameters", jsonrpc2.ErrInvalidParams, req.Method)
--- a/peer/control_client.go
+++ b/peer/control_client.go
@@ -100,6 +100,11 @@
 	return call[relay.PullReply](ctx, c, addr, methodPull, r)
 }
 
+// View exchanges what the two nodes know of the platform's store.
+func (c *ControlClient) View(ctx context.Context, addr string, r ViewRequest) (ViewReply, error) {
+	return call[ViewReply](ctx, c, addr, methodView, r)
+}
+
 // Run closes idle connections until ctx is done, then all of them.
 func (c *ControlClient) Run(ctx context.Context) {
 	ticker := c.o.Clock.NewTicker(c.o.Idle / 4)
--- a/retry/bucket.go
+++ b/retry/bucket.go
@@ -26,7 +26,7 @@
 // concurrent use.
 type Bucket struct {
 	mu sync.Mutex
-	// level is the content in units, 0 to burst.
+	// level is the content in units, minus burst to burst.
 	level int64
 	earn  int64
 	burst int64
@@ -61,11 +61,19 @@
 func (b *Bucket) Take(n int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	got := min(int64(max(n, 0)), b.level/unit)
+	got := max(min(int64(max(n, 0)), b.level/unit), 0)
 	b.level -= got * unit
 	return int(got)
 }
 
+// Charge takes n permits that were spent without asking. The content may fall
+// below zero, to minus the burst; Take then gives nothing until it is earned back.
+func (b *Bucket) Charge(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.level = max(b.level-int64(max(n, 0))*unit, -b.burst)
+}
+
 // Return puts back n permits that were taken and not used.
 func (b *Bucket) Return(n int) {
 	b.mu.Lock()
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -59,7 +59,7 @@
 func newCandidate(vm *board.VM, p board.Peer, now time.Time, slots int) candidate {
 	limit := p.Load.Limit()
 	if limit <= 0 {
-		limit = max(slots, 1)
+		limit = max(vm.Slots(), slots, 1)
 	}
 	age := max(now.Sub(p.Seen), 0)
 	reported := float64(p.Load.Used()) * math.Exp2(-float64(age)/float64(halfLife))
