mesh: Hold new work back by the strain of what it calls

Change: calls of running work wait for half of the time left; each gate integrates its queue delay into a strain, which answers carry up the path, and the entry refuses that part of new work before anything runs. A backend server's own rejection needs a permit; a server that fails many runs counts with less room.

--- a/admit/call.go
+++ b/admit/call.go
@@ -16,6 +16,10 @@
 	Left time.Duration
 	// Target is the operation that is called.
 	Target frame.Target
+	// Patience is how long the call may wait in the queue. 0 leaves that to the
+	// gate's delay target and admission level, which then may refuse the call;
+	// with a patience neither applies.
+	Patience time.Duration
 	// Dependencies names the services that the operation calls; each once.
 	Dependencies []string
 }
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -56,6 +56,7 @@
 	reason   frame.Reason
 	idle     chan struct{}
 	counts   counts
+	strain   strain
 	meter    meter
 }
 
@@ -160,11 +161,12 @@
 	}
 	switch v.action {
 	case admitNow:
+		g.strain.waited(0)
 		return g.admit(c, now), nil, nil
 	case refuseNow:
 		g.counts.refused(c.Priority.Class(), v.reason)
 		if v.demand {
-			g.strain(c.Priority.Class(), v.reason)
+			g.overload(c.Priority.Class(), v.reason)
 		}
 		return nil, nil, frame.Refuse(v.reason, v.detail)
 	}
@@ -200,13 +202,14 @@
 func (g *Gate) finish(e *entry, reason frame.Reason, detail string) {
 	frame.Invariant(e.ticket == nil && e.err == nil, "settled", "call %d is admitted or refused twice", e.seq)
 	g.counts.refused(e.call.Priority.Class(), reason)
-	g.strain(e.call.Priority.Class(), reason)
+	g.overload(e.call.Priority.Class(), reason)
+	g.strain.waited(g.clock.Now().Sub(e.arrived))
 	e.err = frame.Refuse(reason, detail)
 	close(e.done)
 }
 
-// strain records what a refusal says about the load.
-func (g *Gate) strain(class int, reason frame.Reason) {
+// overload records what a refusal says about the load.
+func (g *Gate) overload(class int, reason frame.Reason) {
 	switch reason {
 	case frame.ReasonFull, frame.ReasonExpired, frame.ReasonLate:
 		g.meter.overloaded = true
@@ -223,6 +226,7 @@
 	if next := g.queue.first(); next != nil {
 		frame.Invariant(e.before(next), "order", "call %d served before %d", e.seq, next.seq)
 	}
+	g.strain.waited(now.Sub(e.arrived))
 	e.ticket = g.admit(e.call, now)
 	close(e.done)
 }
@@ -267,14 +271,14 @@
 func (g *Gate) sweep(now time.Time) {
 	allowed := g.allowed(now)
 	for _, e := range g.queue.removeIf(func(e *entry) bool {
-		return !e.deadline.After(now) || e.call.Priority.Class() > 0 && now.Sub(e.arrived) > allowed
+		return !e.deadline.After(now) || now.Sub(e.arrived) > e.patience(allowed)
 	}) {
 		if !e.deadline.After(now) {
 			g.finish(e, frame.ReasonExpired, "deadline passed in the queue")
 			continue
 		}
 		g.meter.overloaded = true
-		g.finish(e, frame.ReasonLevel, "queue delay above target")
+		g.finish(e, frame.ReasonLevel, "waited longer than allowed")
 	}
 }
 
@@ -309,6 +313,7 @@
 	if since := g.queue.Since(); !since.IsZero() && now.Sub(since) > standing {
 		g.meter.overloaded = true
 	}
+	g.strain.tick(now, g.queue)
 	p := g.meter.next(now)
 	u := use{full: p.use >= fullUse, pressed: g.pressed()}
 	if !g.limits.Enabled {
@@ -347,6 +352,14 @@
 	return g.shed.level
 }
 
+// Strain returns which part of the new work of the least important class
+// should not be sent here, 0 to 1.
+func (g *Gate) Strain() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.strain.value
+}
+
 // Load returns the calls in flight and queued, and the limit.
 func (g *Gate) Load() frame.Load {
 	g.mu.Lock()
--- a/admit/judge.go
+++ b/admit/judge.go
@@ -50,7 +50,7 @@
 		}
 		return verdict{action: admitNow, demand: true}
 	}
-	if g.above(c.Priority) {
+	if c.Patience == 0 && g.above(c.Priority) {
 		return refusal(frame.ReasonLevel, "priority is above the admission level", true)
 	}
 	if c.Left < own+g.wait(c.Priority) {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -20,6 +20,19 @@
 	err      *frame.OutcomeError
 }
 
+// patience returns how long the entry may wait, where the gate allows the given
+// time to calls that bring no bound of their own. Those of class 0 wait as long
+// as their deadline allows.
+func (e *entry) patience(allowed time.Duration) time.Duration {
+	switch {
+	case e.call.Patience > 0:
+		return e.call.Patience
+	case e.call.Priority.Class() == 0:
+		return e.call.Left
+	}
+	return allowed
+}
+
 // before reports whether e is served before o.
 func (e *entry) before(o *entry) bool {
 	if e.call.Priority != o.call.Priority {
--- a/board/peer.go
+++ b/board/peer.go
@@ -14,6 +14,9 @@
 	Incarnation frame.Incarnation
 	// Load is the load that the peer reported last.
 	Load frame.Load
+	// Failing is the part of recent calls that the peer's backend server failed, as
+	// reported last.
+	Failing float64
 	// Seen is when the peer answered last; zero before the first answer.
 	Seen time.Time
 	// Inflight is the number of calls this node waits on at the peer; never negative.
--- a/catalog/config.go
+++ b/catalog/config.go
@@ -69,6 +69,8 @@
 	document Document
 	// byHost holds the routes of a host, longest prefix first.
 	byHost map[string][]*Route
+	// first and last are the smallest and the largest priority of a route.
+	first, last int
 }
 
 // NewConfig prepares a document, which must not be changed afterwards.
@@ -78,6 +80,10 @@
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
+		if i == 0 {
+			c.first, c.last = r.Priority, r.Priority
+		}
+		c.first, c.last = min(c.first, r.Priority), max(c.last, r.Priority)
 	}
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -94,6 +100,9 @@
 // Limits returns the bounds on callers.
 func (c *Config) Limits() Limits { return c.document.Limits }
 
+// Priorities returns the smallest and the largest priority of a route.
+func (c *Config) Priorities() (first, last int) { return c.first, c.last }
+
 // Match returns the route with the longest prefix that begins the path, nil
 // where none does. host may have a port; path is compared byte for byte.
 func (c *Config) Match(host, path string) *Route {
--- a/frame/answer.go
+++ b/frame/answer.go
@@ -17,6 +17,8 @@
 	HeaderLevel       = "Dogwood-Level"
 	HeaderLoad        = "Dogwood-Load"
 	HeaderIncarnation = "Dogwood-Incarnation"
+	HeaderStrain      = "Dogwood-Strain"
+	HeaderFailing     = "Dogwood-Failing"
 	HeaderLeaving     = "Dogwood-Leaving"
 	HeaderRev         = "Dogwood-Rev"
 	HeaderTimeout     = "Dogwood-Timeout"
@@ -122,6 +124,12 @@
 	Level Level
 	// Load is the answering node's load.
 	Load Load
+	// Strain is the part of new work of the least important class, 0 to 1, that
+	// should not be sent to the answering node and what it calls.
+	Strain float64
+	// Failing is the part of recent calls, 0 to 1, that the backend server failed
+	// or turned away by itself.
+	Failing float64
 	// Incarnation is the answering process.
 	Incarnation Incarnation
 	// Leaving says that the node takes no new work.
--- a/member/scale_test.go
+++ b/member/scale_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"dogwoodhead/board"
-	"dogwoodhead/source"
 	"dogwoodhead/relay"
+	"dogwoodhead/source"
 )
 
 // platformBudget is the number of reads a second that the platform serves.
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -15,8 +15,8 @@
 
 	"dogwoodhead/board"
 	"dogwoodhead/frame"
-	"dogwoodhead/source"
 	"dogwoodhead/relay"
+	"dogwoodhead/source"
 )
 
 const simSite = "ogun-west"
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -21,7 +21,7 @@
 	mu           sync.Mutex
 	ratio, slack float64
 	nodes        int
-	buckets map[string]*retry.Bucket
+	buckets      map[string]*retry.Bucket
 }
 
 func newBudgets(ratio, slack float64) *budgets {
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dogwoodhead/catalog"
@@ -51,8 +52,15 @@
 	// objective is the latency within which the response has its full value; 0
 	// at the node beside the backend server.
 	objective time.Duration
+	// parent is the running request that made this one, nil where none is known.
+	parent *call
+	// hindered says that a request which this one made was not served.
+	hindered atomic.Bool
 }
 
+// inner reports whether the request is part of running work.
+func (c *call) inner() bool { return c.class%2 == 0 }
+
 // errTooLarge says that a body exceeds the configured limit.
 var errTooLarge = errors.New("body is too large")
 
@@ -239,12 +247,6 @@
 	return "/"
 }
 
-// classOf maps a route's priority to a class. Requests of running work go
-// before new work of the same priority.
-func classOf(r *catalog.Route, inner bool) int {
-	class := 2 * r.Priority
-	if !inner {
-		class++
-	}
-	return min(class, frame.MaxClass)
-}
+// classOf maps a route's priority to the class of its new requests. Those of
+// running work have the class before, whatever their own route's priority.
+func classOf(r *catalog.Route) int { return min(2*r.Priority+1, frame.MaxClass) }
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -51,8 +51,12 @@
 // backend server.
 type entry struct {
 	o entryOptions
+	// strains is what the responses to new requests say of each route.
+	strains *strains
 }
 
+func newEntry(o entryOptions) *entry { return &entry{o: o, strains: newStrains(o.clock)} }
+
 // trip is what happened to one request, for its log line.
 type trip struct {
 	started time.Time
@@ -70,7 +74,7 @@
 	}
 	ctx, cancel := clockwork.WithDeadline(r.Context(), e.o.clock, c.deadline)
 	defer cancel()
-	res := e.route(ctx, c, t)
+	res := e.serve(ctx, c, t)
 	e.observe(c, t, res)
 	if r.Context().Err() != nil {
 		// The caller has left; nobody reads an answer.
@@ -115,10 +119,11 @@
 	c.header.Del(platform.HeaderInstance)
 	c.route, c.idempotent, c.objective = to.Name, to.Idempotent, to.Objective
 	c.service = e.o.splitter.pick(to)
-	c.class = classOf(to, false)
+	c.class = classOf(to)
 	if parent := e.o.seat.parent(c.id); parent != nil {
-		c.class = min(parent.class&^1, classOf(to, true))
+		c.class = parent.class &^ 1
 		c.repeat = parent.repeat
+		c.parent = parent
 	}
 	c.deadline = t.started.Add(deadlineOf(r.Header, to.Timeout))
 }
@@ -149,6 +154,44 @@
 	return n
 }
 
+// serve holds new work back where what it calls is strained, and routes the rest.
+func (e *entry) serve(ctx context.Context, c *call, t *trip) result {
+	if c.parent != nil {
+		r := e.route(ctx, c, t)
+		e.o.seat.called(c.parent, r)
+		return r
+	}
+	if part := e.heldBack(c); part > 0 && e.o.random() < part {
+		return refused(frame.ReasonLevel, "services on the request's path are strained")
+	}
+	r := e.route(ctx, c, t)
+	if r.feedback != nil {
+		e.strains.learn(c.route, r.feedback.Strain)
+	}
+	return r
+}
+
+// heldBack returns the part of a route's new requests that is refused before
+// any work is done: most of the least important ones, none of the most important.
+func (e *entry) heldBack(c *call) float64 {
+	strain := e.strains.of(c.route)
+	if strain == 0 {
+		return 0
+	}
+	first, last := e.o.view.Config().Priorities()
+	switch priority := c.class / 2; {
+	case priority >= last:
+		return mostHeldBack * strain
+	case priority > first:
+		return mostHeldBack * max(2*strain-1, 0)
+	}
+	return 0
+}
+
+// mostHeldBack is below 1, so that a route is never starved and its strain is
+// still learned.
+const mostHeldBack = 0.85
+
 // route offers the request to nodes until one has run it, or none may any more.
 func (e *entry) route(ctx context.Context, c *call, t *trip) result {
 	bucket := e.o.budgets.of(c.service)
@@ -211,7 +254,15 @@
 		return false
 	}
 	if r.outcome == frame.NotRun {
-		return r.reason != frame.ReasonExpired && r.reason != frame.ReasonLate && r.reason != frame.ReasonBad
+		switch r.reason {
+		case frame.ReasonExpired, frame.ReasonLate, frame.ReasonBad:
+			return false
+		case frame.ReasonDown:
+			// The backend server itself turned the request away, which counts as one
+			// that it got.
+			return e.o.budgets.of(c.service).Take(1) == 1
+		}
+		return true
 	}
 	if !c.idempotent || c.repeat || !failed(r) {
 		return false
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -50,18 +50,18 @@
 	log     *logrus.Logger
 	clock   clockwork.Clock
 
-	view     *catalog.View
-	follower *catalog.Follower
-	board    *board.Board
-	chooser  *route.Chooser
-	gate     *admit.Gate
-	budgets  *budgets
-	splitter *splitter
-	seat     *seat
-	entry    *entry
-	server   *server
-	syncer   *syncer
-	metrics  *operator.Metrics
+	view       *catalog.View
+	follower   *catalog.Follower
+	board      *board.Board
+	chooser    *route.Chooser
+	gate       *admit.Gate
+	budgets    *budgets
+	splitter   *splitter
+	seat       *seat
+	entry      *entry
+	server     *server
+	syncer     *syncer
+	metrics    *operator.Metrics
 	controlSet *metrics.Set
 	// peers, backend and store are the connections to other nodes, to the backend
 	// server and to the platform's store.
@@ -133,11 +133,11 @@
 		address: n.set.Backend(), leaving: n.leaving.Load,
 	})
 	n.server = &server{clock: n.clock, seat: n.seat}
-	n.entry = &entry{o: entryOptions{
+	n.entry = newEntry(entryOptions{
 		clock: n.clock, log: n.log, view: n.view, board: n.board, chooser: n.chooser, budgets: n.budgets,
 		splitter: n.splitter, seat: n.seat, client: &client{clock: n.clock, http: n.peers}, metrics: n.metrics,
 		service: n.set.Service(), random: rand.Float64, leaving: n.leaving.Load,
-	}}
+	})
 }
 
 func (n *Node) wireControl() {
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -26,7 +25,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, err := s.parse(r)
 	if err != nil {
-		s.write(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.seat.feedback()})
+		s.write(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.seat.feedback(c.route)})
 		return
 	}
 	ctx, cancel := clockwork.WithDeadline(r.Context(), s.clock, c.deadline)
@@ -53,11 +52,7 @@
 // write sends a result to the node that asked.
 func (s *server) write(w http.ResponseWriter, r result) {
 	h := w.Header()
-	if r.feedback.Leaving {
-		h.Set(frame.HeaderLeaving, "1")
-		h.Set("Connection", "close")
-	}
-	h.Set(frame.HeaderLoad, r.feedback.Load.String())
+	writeFeedback(h, r.feedback)
 	if r.outcome == frame.Answered {
 		h.Set(frame.HeaderOutcome, frame.Answered.String())
 		writeAnswer(w, r.answer)
@@ -73,6 +68,35 @@
 	w.WriteHeader(status)
 }
 
+// writeFeedback writes what differs from the usual.
+func writeFeedback(h http.Header, f *frame.Feedback) {
+	h.Set(frame.HeaderLoad, f.Load.String())
+	if f.Leaving {
+		h.Set(frame.HeaderLeaving, "1")
+		h.Set("Connection", "close")
+	}
+	writePart(h, frame.HeaderStrain, f.Strain)
+	writePart(h, frame.HeaderFailing, f.Failing)
+}
+
+// leastPart is the smallest part that is worth a header.
+const leastPart = 0.01
+
+func writePart(h http.Header, name string, v float64) {
+	if v >= leastPart {
+		h.Set(name, strconv.FormatFloat(v, 'f', 2, 64))
+	}
+}
+
+// parsePart reads what writePart wrote; a malformed part counts as none.
+func parsePart(h http.Header, name string) float64 {
+	v, err := strconv.ParseFloat(h.Get(name), 64)
+	if err != nil || !(v >= 0 && v <= 1) {
+		return 0
+	}
+	return v
+}
+
 // writeAnswer writes a response. Where its body breaks off, so does the connection.
 func writeAnswer(w http.ResponseWriter, a *answer) {
 	h := w.Header()
@@ -148,5 +172,8 @@
 	if err != nil {
 		return nil
 	}
-	return &frame.Feedback{Load: load, Leaving: strings.TrimSpace(h.Get(frame.HeaderLeaving)) != ""}
+	return &frame.Feedback{
+		Load: load, Leaving: h.Get(frame.HeaderLeaving) != "",
+		Strain: parsePart(h, frame.HeaderStrain), Failing: parsePart(h, frame.HeaderFailing),
+	}
 }
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -30,6 +30,8 @@
 	lingerPart = 0.5
 	// exitMargin is kept from the grace to end by itself.
 	exitMargin = 700 * time.Millisecond
+	// finishWait bounds the wait for background work at the end.
+	finishWait = 200 * time.Millisecond
 	// settlePoll is how often a stop looks for requests in progress.
 	settlePoll = 20 * time.Millisecond
 )
@@ -39,8 +41,6 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer stopWork()
 	failed := make(chan error, 8)
 	call := newListener("call", net.JoinHostPort(n.set.IP(), strconv.Itoa(n.set.CallPort())), n.server)
 	outbound := newListener("outbound", n.set.Outbound(), n.entry)
@@ -77,9 +77,24 @@
 	case <-ctx.Done():
 	}
 	n.stop(call, outbound, all)
+	stopWork()
+	n.finish(&wg)
 	return nil
 }
 
+// finish waits for the background work, but not beyond the grace.
+func (n *Node) finish(wg *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-n.clock.After(finishWait):
+	}
+}
+
 // tick drives what happens periodically.
 func (n *Node) tick(ctx context.Context) {
 	t := n.clock.NewTicker(gateTick)
--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -40,13 +40,17 @@
 	// server is the backend server's entry in the list, nil while there is none.
 	server atomic.Pointer[catalog.Server]
 
+	health *health
+	// path is the strain of what each route's runs call.
+	path *strains
+
 	mu sync.Mutex
 	// running holds the requests at the backend server by id.
 	running map[string]*call
 }
 
 func newSeat(o seatOptions) *seat {
-	return &seat{o: o, running: make(map[string]*call)}
+	return &seat{o: o, running: make(map[string]*call), health: newHealth(o.clock), path: newStrains(o.clock)}
 }
 
 // parent returns the running request that made the request with the id, nil
@@ -67,16 +71,52 @@
 	started := s.o.clock.Now()
 	r := s.admit(ctx, c, instance)
 	took := s.o.clock.Since(started)
-	r.feedback = s.feedback()
+	r.feedback = s.feedback(c.route)
 	s.o.metrics.Inbound(c.operation(), className(c.class), r.outcome, r.reason, took)
 	s.logRun(c, instance, r, took)
 	return r
 }
 
-func (s *seat) feedback() *frame.Feedback {
-	return &frame.Feedback{Load: s.o.gate.Load(), Leaving: s.o.leaving()}
+// feedback returns what the node says of itself to the sender of a request.
+func (s *seat) feedback(route string) *frame.Feedback {
+	return &frame.Feedback{
+		Load: s.o.gate.Load(), Leaving: s.o.leaving(), Failing: s.health.failing(),
+		Strain: max(s.o.gate.Strain(), s.path.of(route)),
+	}
+}
+
+// called records what became of a request that a running one made.
+func (s *seat) called(parent *call, r result) {
+	if r.outcome != frame.Answered || r.answer.status >= http.StatusInternalServerError {
+		parent.hindered.Store(true)
+	}
+	if r.feedback != nil {
+		s.path.learn(parent.route, r.feedback.Strain)
+	}
 }
 
+// patience returns how long a request may wait for a slot. One of running work
+// may wait longer: its refusal would waste what was done already.
+func patience(c *call, left time.Duration) time.Duration {
+	switch {
+	case c.class < firstSheddable:
+		return left
+	case c.inner():
+		return left / innerPatience
+	}
+	return left / newPatience
+}
+
+const (
+	// firstSheddable is the least important class that waits as long as its
+	// deadline allows, plus one.
+	firstSheddable = 2
+	// innerPatience and newPatience are the parts of the time left, as divisors,
+	// that a request of running work and a new one may wait.
+	innerPatience = 2
+	newPatience   = 8
+)
+
 // admit waits for a slot.
 func (s *seat) admit(ctx context.Context, c *call, instance string) result {
 	if s.o.leaving() {
@@ -85,16 +125,19 @@
 	if own := s.server.Load(); own != nil && own.ID == instance && own.Draining {
 		return refused(frame.ReasonDraining, "the backend server is draining")
 	}
+	left := c.left(s.o.clock.Now())
 	ticket, err := s.o.gate.Enter(ctx, admit.Call{
 		Priority: frame.NewLevel(c.class, 0),
-		Left:     c.left(s.o.clock.Now()),
+		Left:     left,
 		Target:   c.operation(),
+		Patience: patience(c, left),
 	})
 	var refusal *frame.OutcomeError
 	if errors.As(err, &refusal) {
 		return refused(refusal.Reason(), refusal.Detail())
 	}
 	r := s.exchange(ctx, c, instance)
+	s.health.record(c, r)
 	if r.answer != nil && r.answer.stream != nil {
 		r.answer.stream = &releasing{ReadCloser: r.answer.stream, release: func() { ticket.Leave(true) }}
 		return r
--- a/node/control.go
+++ b/node/control.go
@@ -17,9 +17,9 @@
 	"dogwoodhead/member"
 	"dogwoodhead/operator"
 	"dogwoodhead/peer"
-	"dogwoodhead/source"
 	"dogwoodhead/policy"
 	"dogwoodhead/relay"
+	"dogwoodhead/source"
 )
 
 const (
--- a/peer/control_test.go
+++ b/peer/control_test.go
@@ -20,8 +20,8 @@
 
 	"dogwoodhead/frame"
 	"dogwoodhead/member"
-	"dogwoodhead/source"
 	"dogwoodhead/relay"
+	"dogwoodhead/source"
 )
 
 // fixture is a control server on loopback with a client for it.
--- a/retry/bucket.go
+++ b/retry/bucket.go
@@ -9,6 +9,10 @@
 // fraction many times does not drift.
 const unit = 1_000_000
 
+// maxDebt bounds, in permits, how far the content falls below zero, so that a
+// bucket gives permits again soon after repeated work has ended.
+const maxDebt = 50
+
 // BucketOptions configures a Bucket.
 type BucketOptions struct {
 	// Ratio is the number of permits earned per root call, 0 to 1.
@@ -26,7 +30,7 @@
 // concurrent use.
 type Bucket struct {
 	mu sync.Mutex
-	// level is the content in units, minus burst to burst.
+	// level is the content in units, -maxDebt to burst.
 	level int64
 	earn  int64
 	burst int64
@@ -67,11 +71,11 @@
 }
 
 // Charge takes n permits that were spent without asking. The content may fall
-// below zero, to minus the burst; Take then gives nothing until it is earned back.
+// below zero; Take then gives nothing until it is earned back.
 func (b *Bucket) Charge(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.level = max(b.level-int64(max(n, 0))*unit, -b.burst)
+	b.level = max(b.level-int64(max(n, 0))*unit, -maxDebt*unit)
 }
 
 // Return puts back n permits that were taken and not used.
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -14,6 +14,14 @@
 	// halfLife is the age at which a reported load counts half. Service times
 	// are well below it, so an older report says little about the present.
 	halfLife = time.Second
+	// failingHalfLife is the age at which a reported part of failures counts half,
+	// so that a server that gets no calls is tried again.
+	failingHalfLife = 2 * time.Second
+	// failingPower weighs failures: a server that fails half of its calls counts
+	// with an eighth of its limit.
+	failingPower = 3
+	// minSoundness keeps a limit above 0.
+	minSoundness = 0.01
 )
 
 // rank orders candidates; a smaller one is better. Only the best rank that is
@@ -63,7 +71,14 @@
 	}
 	age := max(now.Sub(p.Seen), 0)
 	reported := float64(p.Load.Used()) * math.Exp2(-float64(age)/float64(halfLife))
-	return candidate{vm: vm, used: reported + float64(p.Inflight), limit: float64(limit)}
+	return candidate{vm: vm, used: reported + float64(p.Inflight), limit: float64(limit) * soundness(p, age)}
+}
+
+// soundness returns the part of a peer's limit that counts. A backend server
+// that fails many calls frees its slots early and would seem to have room.
+func soundness(p board.Peer, age time.Duration) float64 {
+	failing := p.Failing * math.Exp2(-float64(age)/float64(failingHalfLife))
+	return max(math.Pow(1-failing, failingPower), minSoundness)
 }
 
 func (c candidate) utilisation() float64 { return c.used / c.limit }
--- a/route/report.go
+++ b/route/report.go
@@ -84,6 +84,7 @@
 	p.Leaving = f.Leaving || p.Leaving && f.Incarnation == p.Incarnation
 	p.Incarnation = f.Incarnation
 	p.Load = f.Load
+	p.Failing = f.Failing
 	p.Rev = f.Rev
 	p.Seen = now
 	return p
