--- a/frame/answer.go
+++ b/frame/answer.go
@@ -18,6 +18,7 @@
 	HeaderLoad        = "Dogwood-Load"
 	HeaderIncarnation = "Dogwood-Incarnation"
 	HeaderStrain      = "Dogwood-Strain"
+	HeaderDeep        = "Dogwood-Deep"
 	HeaderFailing     = "Dogwood-Failing"
 	HeaderLeaving     = "Dogwood-Leaving"
 	HeaderRev         = "Dogwood-Rev"
@@ -130,6 +131,8 @@
 	// Failing is the part of recent calls, 0 to 1, that the backend server failed
 	// or turned away by itself.
 	Failing float64
+	// Deep says that calls of the answered kind make calls of their own.
+	Deep bool
 	// Incarnation is the answering process.
 	Incarnation Incarnation
 	// Leaving says that the node takes no new work.
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dogwoodhead/catalog"
 	"dogwoodhead/frame"
 	"dogwoodhead/platform"
@@ -58,6 +60,17 @@
 	hindered atomic.Bool
 }
 
+// ranks is the number of ranks.
+const ranks = frame.MaxRank + 1
+
+// rank orders the requests of a class, 0 is the most important. It is that of
+// the root, as far as the id tells it, so that every node prefers the same
+// roots and few are served in part.
+func (c *call) rank() int {
+	root, _, _ := strings.Cut(c.id, ".")
+	return int(xxhash.Sum64String(root) % ranks)
+}
+
 // inner reports whether the request is part of running work.
 func (c *call) inner() bool { return c.class%2 == 0 }
 
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -23,7 +23,7 @@
 	// startWait is what a caller is told to wait while no configuration is known.
 	startWait = 500 * time.Millisecond
 	// maxOffers bounds the nodes that are asked to take one request.
-	maxOffers = 4
+	maxOffers = 8
 	// timeoutMargin is kept from a deadline, so that the answer is there in time.
 	timeoutMargin = 20 * time.Millisecond
 )
@@ -53,9 +53,13 @@
 	o entryOptions
 	// strains is what the responses to new requests say of each route.
 	strains *strains
+	// leaves says of each route whether its requests make no others.
+	leaves *board.Table[string, bool]
 }
 
-func newEntry(o entryOptions) *entry { return &entry{o: o, strains: newStrains(o.clock)} }
+func newEntry(o entryOptions) *entry {
+	return &entry{o: o, strains: newStrains(o.clock), leaves: board.NewTable[string, bool]()}
+}
 
 // trip is what happened to one request, for its log line.
 type trip struct {
@@ -161,7 +165,7 @@
 		e.o.seat.called(c.parent, r)
 		return r
 	}
-	if part := e.heldBack(c); part > 0 && e.o.random() < part {
+	if part := e.heldBack(c); part > 0 && float64(c.rank()) >= ranks*(1-part) {
 		return refused(frame.ReasonLevel, "services on the request's path are strained")
 	}
 	r := e.route(ctx, c, t)
@@ -171,6 +175,24 @@
 	return r
 }
 
+// budget names the permits of a request. A route counts as one whose requests
+// make others until its responses say that they don't.
+func (e *entry) budget(c *call) budgetKey {
+	leaf, known := e.leaves.Get(c.route)
+	return budgetKey{service: c.service, deep: !known || !leaf}
+}
+
+// urgency orders requests for permits: 0 is the most important, below 1 all.
+// Requests of one root have one rank, so that permits are spent on few roots
+// that can be served whole.
+func urgency(c *call) float64 {
+	u := float64(c.rank()) / (2 * ranks)
+	if c.class >= firstSheddable {
+		u += 0.5
+	}
+	return u
+}
+
 // heldBack returns the part of a route's new requests that is refused before
 // any work is done: most of the least important ones, none of the most important.
 func (e *entry) heldBack(c *call) float64 {
@@ -194,12 +216,7 @@
 
 // route offers the request to nodes until one has run it, or none may any more.
 func (e *entry) route(ctx context.Context, c *call, t *trip) result {
-	bucket := e.o.budgets.of(c.service)
-	if c.repeat {
-		bucket.Charge(1)
-	} else {
-		bucket.Earn()
-	}
+	e.o.budgets.request(e.budget(c), c.repeat)
 	var tried []string
 	sofar := refused(frame.ReasonDown, "no backend server of "+c.service+" is listed")
 	for len(tried) < maxOffers {
@@ -207,7 +224,7 @@
 		if err != nil {
 			break
 		}
-		if contains(tried, vm.Name()) {
+		if contains(tried, vm.Name()) && sofar.reason != frame.ReasonDown {
 			e.o.chooser.Report(vm.Name(), route.Report{Err: frame.Refuse(frame.ReasonCancelled, "not asked again")})
 			break
 		}
@@ -216,6 +233,9 @@
 		t.offers++
 		t.last = vm.Name()
 		e.o.chooser.Report(vm.Name(), route.Report{Err: r.err(), Feedback: r.feedback})
+		if r.outcome == frame.Answered && r.feedback != nil {
+			e.learnLeaf(c.route, !r.feedback.Deep)
+		}
 		sofar = merge(sofar, r, t.runs > 0)
 		if r.outcome != frame.NotRun {
 			t.runs++
@@ -227,6 +247,14 @@
 	return sofar
 }
 
+// learnLeaf records whether the requests of a route make others.
+func (e *entry) learnLeaf(route string, leaf bool) {
+	if old, known := e.leaves.Get(route); known && old == leaf || !known && e.leaves.Len() >= maxRoutes {
+		return
+	}
+	e.leaves.Put(route, leaf)
+}
+
 func contains(list []string, s string) bool {
 	for _, v := range list {
 		if v == s {
@@ -260,7 +288,7 @@
 		case frame.ReasonDown:
 			// The backend server itself turned the request away, which counts as one
 			// that it got.
-			return e.o.budgets.of(c.service).Take(1) == 1
+			return e.o.budgets.take(e.budget(c), urgency(c))
 		}
 		return true
 	}
@@ -273,7 +301,7 @@
 			attempts = to.Attempts
 		}
 	}
-	if t.runs >= attempts || e.o.budgets.of(c.service).Take(1) == 0 {
+	if t.runs >= attempts || !e.o.budgets.take(e.budget(c), urgency(c)) {
 		return false
 	}
 	c.repeat = true
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -78,7 +78,7 @@
 	n := &Node{
 		set: s, version: version, log: log, clock: clock,
 		metrics: operator.NewMetrics(), controlSet: metrics.NewSet(),
-		budgets: newBudgets(s.Ratio(), s.Slack()), splitter: newSplitter(rand.Float64),
+		budgets: newBudgets(s.Ratio(), s.Slack(), clock), splitter: newSplitter(rand.Float64),
 	}
 	n.grace.Store(int64(s.Grace()))
 	self := frame.NewIncarnation(s.VM(), newRand())
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -75,6 +75,9 @@
 		h.Set(frame.HeaderLeaving, "1")
 		h.Set("Connection", "close")
 	}
+	if f.Deep {
+		h.Set(frame.HeaderDeep, "1")
+	}
 	writePart(h, frame.HeaderStrain, f.Strain)
 	writePart(h, frame.HeaderFailing, f.Failing)
 }
@@ -173,7 +176,7 @@
 		return nil
 	}
 	return &frame.Feedback{
-		Load: load, Leaving: h.Get(frame.HeaderLeaving) != "",
+		Load: load, Leaving: h.Get(frame.HeaderLeaving) != "", Deep: h.Get(frame.HeaderDeep) != "",
 		Strain: parsePart(h, frame.HeaderStrain), Failing: parsePart(h, frame.HeaderFailing),
 	}
 }
--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -81,7 +81,7 @@
 func (s *seat) feedback(route string) *frame.Feedback {
 	return &frame.Feedback{
 		Load: s.o.gate.Load(), Leaving: s.o.leaving(), Failing: s.health.failing(),
-		Strain: max(s.o.gate.Strain(), s.path.of(route)),
+		Strain: max(s.o.gate.Strain(), s.path.of(route)), Deep: s.path.known(route),
 	}
 }
 
@@ -127,7 +127,7 @@
 	}
 	left := c.left(s.o.clock.Now())
 	ticket, err := s.o.gate.Enter(ctx, admit.Call{
-		Priority: frame.NewLevel(c.class, 0),
+		Priority: frame.NewLevel(c.class, c.rank()),
 		Left:     left,
 		Target:   c.operation(),
 		Patience: patience(c, left),
--- a/mesh/strains.go
+++ b/mesh/strains.go
@@ -58,6 +58,14 @@
 	return s.rows[route].faded(now)
 }
 
+// known reports whether there was a report of a route.
+func (s *strains) known(route string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.rows[route]
+	return ok
+}
+
 // faded returns the strain, faded to now.
 func (r strainRow) faded(now time.Time) float64 {
 	idle := now.Sub(r.at) - strainHold
