mesh: Compare servers by their time; give full buckets to every request

Cause: TestRetrySafe failed 2 of 5 times: a request of the last class needed more permits than a bucket with a small burst can hold, so its repeats were never allowed.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -360,6 +360,13 @@
 	return g.strain.value
 }
 
+// Typical returns the recent own time of an operation, 0 where none is known.
+func (g *Gate) Typical(t frame.Target) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.times.typical(t, g.clock.Now())
+}
+
 // Load returns the calls in flight and queued, and the limit.
 func (g *Gate) Load() frame.Load {
 	g.mu.Lock()
--- a/board/peer.go
+++ b/board/peer.go
@@ -17,6 +17,8 @@
 	// Failing is the part of recent calls that the peer's backend server failed, as
 	// reported last.
 	Failing float64
+	// Slow is the time of the peer's backend server divided by that of the others.
+	Slow float64
 	// Seen is when the peer answered last; zero before the first answer.
 	Seen time.Time
 	// Inflight is the number of calls this node waits on at the peer; never negative.
--- a/frame/answer.go
+++ b/frame/answer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,6 +19,7 @@
 	HeaderLoad        = "Dogwood-Load"
 	HeaderIncarnation = "Dogwood-Incarnation"
 	HeaderStrain      = "Dogwood-Strain"
+	HeaderTypical     = "Dogwood-Typical"
 	HeaderDeep        = "Dogwood-Deep"
 	HeaderFailing     = "Dogwood-Failing"
 	HeaderLeaving     = "Dogwood-Leaving"
@@ -131,6 +133,12 @@
 	// Failing is the part of recent calls, 0 to 1, that the backend server failed
 	// or turned away by itself.
 	Failing float64
+	// Typical is the recent time of the answered operation at the backend server,
+	// without the calls that it makes; 0 where it is not known.
+	Typical time.Duration
+	// Slow is the typical time divided by that of the other servers; the node that
+	// gets the feedback works it out. 0 counts as 1.
+	Slow float64
 	// Deep says that calls of the answered kind make calls of their own.
 	Deep bool
 	// Incarnation is the answering process.
--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -91,7 +91,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	row := b.row(k)
-	if float64(row.bucket.Permits()) < 1+urgency*float64(row.burst) {
+	// With a full bucket every request gets a permit.
+	if float64(row.bucket.Permits()) < 1+urgency*float64(row.burst-1) {
 		return false
 	}
 	return row.bucket.Take(1) == 1
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dogwoodhead/admit"
 	"dogwoodhead/catalog"
 	"dogwoodhead/frame"
 	"dogwoodhead/platform"
@@ -56,6 +57,8 @@
 	objective time.Duration
 	// parent is the running request that made this one, nil where none is known.
 	parent *call
+	// ticket is the slot that the request holds; set before it runs.
+	ticket *admit.Ticket
 	// hindered says that a request which this one made was not served.
 	hindered atomic.Bool
 }
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -56,10 +56,11 @@
 	strains *strains
 	// leaves says of each route whether its requests make no others.
 	leaves *board.Table[string, bool]
+	paces  *paces
 }
 
 func newEntry(o entryOptions) *entry {
-	return &entry{o: o, strains: newStrains(o.clock), leaves: board.NewTable[string, bool]()}
+	return &entry{o: o, strains: newStrains(o.clock), leaves: board.NewTable[string, bool](), paces: newPaces(o.clock)}
 }
 
 // trip is what happened to one request, for its log line.
@@ -167,7 +168,10 @@
 // serve holds new work back where what it calls is strained, and routes the rest.
 func (e *entry) serve(ctx context.Context, c *call, t *trip) result {
 	if c.parent != nil {
+		// The slot's own time doesn't include the time of the calls that it makes.
+		done := c.parent.ticket.Wait(c.service)
 		r := e.route(ctx, c, t)
+		done()
 		e.o.seat.called(c.parent, r)
 		return r
 	}
@@ -238,6 +242,7 @@
 		r := e.offer(ctx, c, vm)
 		t.offers++
 		t.last = vm.Name()
+		e.compare(c, vm, r)
 		e.o.chooser.Report(vm.Name(), route.Report{Err: r.err(), Feedback: r.feedback})
 		if r.outcome == frame.Answered && r.feedback != nil {
 			e.learnLeaf(c.route, !r.feedback.Deep)
@@ -253,6 +258,14 @@
 	return sofar
 }
 
+// compare sets how slow a backend server is beside the others of its service.
+func (e *entry) compare(c *call, vm board.VM, r result) {
+	if r.feedback == nil || r.feedback.Typical == 0 {
+		return
+	}
+	r.feedback.Slow = e.paces.compare(c.route, vm.Name(), r.feedback.Typical)
+}
+
 // learnLeaf records whether the requests of a route make others.
 func (e *entry) learnLeaf(route string, leaf bool) {
 	if old, known := e.leaves.Get(route); known && old == leaf || !known && e.leaves.Len() >= maxRoutes {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -39,6 +39,9 @@
 	// usablePart is the part of a backend server's slots that is used: some get
 	// slower when nearly full.
 	usablePart = 0.94
+	// spill is the utilisation of the own zone above which others are used. Bytes
+	// between zones are dear, and the queue holds what is a little above the slots.
+	spill = 1
 	// queuePart is the length of the queue in slots.
 	queuePart = 2
 )
@@ -94,7 +97,7 @@
 		Name: s.VM(), Zone: s.Zone(), Region: s.Region(), Service: s.Service(),
 	}), s.Region(), self))
 	n.gate = admit.NewGate(admit.Options{Clock: clock, Limits: admit.Limits{Slots: 1, Connections: 1, Enabled: true}})
-	n.chooser = route.NewChooser(n.board, route.Options{Clock: clock, Rand: newRand()})
+	n.chooser = route.NewChooser(n.board, route.Options{Clock: clock, Rand: newRand(), Spill: spill})
 	n.view = catalog.NewView(catalog.ViewOptions{Clock: clock, Changed: n.changed, Configured: n.configured})
 	n.wireClients(dial)
 	n.wireCalls()
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -25,7 +25,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, err := s.parse(r)
 	if err != nil {
-		s.write(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.seat.feedback(c.route)})
+		s.write(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.seat.feedback(c)})
 		return
 	}
 	ctx, cancel := clockwork.WithDeadline(r.Context(), s.clock, c.deadline)
@@ -78,6 +78,9 @@
 	if f.Deep {
 		h.Set(frame.HeaderDeep, "1")
 	}
+	if f.Typical >= time.Millisecond {
+		h.Set(frame.HeaderTypical, strconv.FormatInt(f.Typical.Milliseconds(), 10))
+	}
 	writePart(h, frame.HeaderStrain, f.Strain)
 	writePart(h, frame.HeaderFailing, f.Failing)
 }
@@ -175,8 +178,13 @@
 	if err != nil {
 		return nil
 	}
+	typical, err := strconv.ParseInt(h.Get(frame.HeaderTypical), 10, 32)
+	if err != nil {
+		typical = 0
+	}
 	return &frame.Feedback{
-		Load: load, Leaving: h.Get(frame.HeaderLeaving) != "", Deep: h.Get(frame.HeaderDeep) != "",
+		Typical: time.Duration(typical) * time.Millisecond,
+		Load:    load, Leaving: h.Get(frame.HeaderLeaving) != "", Deep: h.Get(frame.HeaderDeep) != "",
 		Strain: parsePart(h, frame.HeaderStrain), Failing: parsePart(h, frame.HeaderFailing),
 	}
 }
--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -71,17 +71,18 @@
 	started := s.o.clock.Now()
 	r := s.admit(ctx, c, instance)
 	took := s.o.clock.Since(started)
-	r.feedback = s.feedback(c.route)
+	r.feedback = s.feedback(c)
 	s.o.metrics.Inbound(c.operation(), className(c.class), r.outcome, r.reason, took)
 	s.logRun(c, instance, r, took)
 	return r
 }
 
 // feedback returns what the node says of itself to the sender of a request.
-func (s *seat) feedback(route string) *frame.Feedback {
+func (s *seat) feedback(c *call) *frame.Feedback {
 	return &frame.Feedback{
 		Load: s.o.gate.Load(), Leaving: s.o.leaving(), Failing: s.health.failing(),
-		Strain: max(s.o.gate.Strain(), s.path.of(route)), Deep: s.path.known(route),
+		Strain: max(s.o.gate.Strain(), s.path.of(c.route)), Deep: s.path.known(c.route),
+		Typical: s.o.gate.Typical(c.operation()),
 	}
 }
 
@@ -136,6 +137,7 @@
 	if errors.As(err, &refusal) {
 		return refused(refusal.Reason(), refusal.Detail())
 	}
+	c.ticket = ticket
 	r := s.exchange(ctx, c, instance)
 	s.health.record(c, r)
 	if r.answer != nil && r.answer.stream != nil {
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -20,6 +20,9 @@
 	// failingPower weighs failures: a server that fails half of its calls counts
 	// with an eighth of its limit.
 	failingPower = 3
+	// tolerated is how much slower than the others a server may be. Servers of one
+	// service differ, and a slower one of the own zone is still the best choice.
+	tolerated = 2.5
 	// minSoundness keeps a limit above 0.
 	minSoundness = 0.01
 )
@@ -77,8 +80,12 @@
 // soundness returns the part of a peer's limit that counts. A backend server
 // that fails many calls frees its slots early and would seem to have room.
 func soundness(p board.Peer, age time.Duration) float64 {
-	failing := p.Failing * math.Exp2(-float64(age)/float64(failingHalfLife))
-	return max(math.Pow(1-failing, failingPower), minSoundness)
+	fade := math.Exp2(-float64(age) / float64(failingHalfLife))
+	sound := math.Pow(1-p.Failing*fade, failingPower)
+	if slow := p.Slow * fade; slow > tolerated {
+		sound *= tolerated * tolerated / (slow * slow)
+	}
+	return max(sound, minSoundness)
 }
 
 func (c candidate) utilisation() float64 { return c.used / c.limit }
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -18,12 +18,17 @@
 	Clock clockwork.Clock
 	// Rand draws choices and jitter. The chooser uses it alone.
 	Rand *rand.Rand
+	// Spill is the utilisation of the own zone above which others are used, for
+	// services of which the policy says nothing; policy.DefaultSpill where it is 0.
+	Spill float64
 }
 
 // Chooser chooses VMs. It is safe for concurrent use.
 type Chooser struct {
 	board *board.Board
 	clock clockwork.Clock
+	// fallback is the spill without a policy.
+	fallback float64
 
 	// mu guards rand; no other lock is acquired while it is held.
 	mu   sync.Mutex
@@ -32,7 +37,10 @@
 
 // NewChooser returns a chooser that reads and writes b.
 func NewChooser(b *board.Board, o Options) *Chooser {
-	return &Chooser{board: b, clock: o.Clock, rand: o.Rand}
+	if o.Spill == 0 {
+		o.Spill = policy.DefaultSpill
+	}
+	return &Chooser{board: b, clock: o.Clock, rand: o.Rand, fallback: o.Spill}
 }
 
 func (c *Chooser) float() float64 {
@@ -156,7 +164,7 @@
 	if s, ok := c.service(service); ok {
 		return s.Spill()
 	}
-	return policy.DefaultSpill
+	return c.fallback
 }
 
 func (c *Chooser) zoneSettings(name string) policy.Zone {
--- a/route/report.go
+++ b/route/report.go
@@ -85,6 +85,9 @@
 	p.Incarnation = f.Incarnation
 	p.Load = f.Load
 	p.Failing = f.Failing
+	if f.Slow > 0 {
+		p.Slow = f.Slow
+	}
 	p.Rev = f.Rev
 	p.Seen = now
 	return p
