--- a/mesh/budget.go
+++ b/mesh/budget.go
@@ -92,7 +92,7 @@
 	defer b.mu.Unlock()
 	row := b.row(k)
 	// With a full bucket every request gets a permit.
-	if float64(row.bucket.Permits()) < 1+urgency*float64(row.burst-1) {
+	if row.bucket.Permits() < 1+int(urgency*float64(row.burst-1)) {
 		return false
 	}
 	return row.bucket.Take(1) == 1
