mesh: Carry what nodes tell each other in one header; stop in two steps

A stopping node refused work for its backend server at once, which took the server away for the whole stop. Ruled out: a binary framing, which would need a second HTTP-independent body path.

--- a/mesh/call.go
+++ b/mesh/call.go
@@ -19,10 +19,6 @@
 )
 
 const (
-	// headerHop carries what a node tells the next one about a request.
-	headerHop = "Dogwood-Hop"
-	// ownPrefix begins the headers of the product, which no caller may set.
-	ownPrefix = "Dogwood-"
 	// keptBody is the largest body in bytes that is read whole before it is sent
 	// on. A request with a larger one can't be sent again, and a response with a
 	// larger one is passed on while it arrives.
@@ -122,32 +118,6 @@
 	return n, err
 }
 
-// hop encodes what the next node needs besides the request itself.
-func (c *call) hop() string {
-	flags := []byte{'n', 'f'}
-	if c.idempotent {
-		flags[0] = 'i'
-	}
-	if c.repeat {
-		flags[1] = 'r'
-	}
-	return strconv.Itoa(c.class) + ";" + string(flags) + ";" + c.route
-}
-
-// parseHop reads what hop wrote.
-func (c *call) parseHop(s string) error {
-	class, rest, ok := strings.Cut(s, ";")
-	flags, route, ok2 := strings.Cut(rest, ";")
-	n, err := strconv.Atoi(class)
-	if !ok || !ok2 || len(flags) != 2 || err != nil || n < 0 || n > frame.MaxClass {
-		return errors.New(headerHop + " is malformed")
-	}
-	c.class, c.route = n, route
-	c.idempotent = flags[0] == 'i'
-	c.repeat = flags[1] == 'r'
-	return nil
-}
-
 // left returns the time left until the deadline.
 func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -337,7 +337,6 @@
 	require.Eventually(t, func() bool { return !shop.ready() }, waitLimit, time.Millisecond)
 	late := shop.send(request{path: "/x/", id: "late"})
 	require.Equal(t, http.StatusOK, late.status, "callers that have not noticed are served")
-	require.Equal(t, http.StatusServiceUnavailable, shop.send(request{path: "/shop/", id: "own"}).status)
 	for range cap(replies) {
 		r := <-replies
 		require.NoError(t, r.err)
@@ -346,6 +345,23 @@
 	require.NoError(t, <-shop.done)
 }
 
+// TestClosed guards against work that starts at a backend server whose node is
+// about to end, and against a refusal of such work that is not true.
+func TestClosed(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	one := f.add(standin.AppOptions{ID: "i-1", Service: "one", Slots: 10})
+	f.config(1, routeTo("one", "/x/", "unsafe"), routeTo("shop", "/shop/", "unsafe"))
+	one.node.closed.Store(true)
+	shop.node.closed.Store(true)
+	require.Equal(t, http.StatusServiceUnavailable, shop.send(request{path: "/x/", id: "remote"}).status)
+	require.Equal(t, http.StatusServiceUnavailable, shop.send(request{path: "/shop/", id: "own"}).status)
+	require.Zero(t, one.app.Runs("remote"))
+	require.Zero(t, shop.app.Runs("own"))
+	p, ok := shop.node.board.Peers().Get("i-1")
+	require.True(t, ok && p.Leaving, "the node says that it is leaving")
+}
+
 // TestInnerFirst guards against calls of running work that are refused while
 // new work is served: the work done for their request would be lost.
 func TestInnerFirst(t *testing.T) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -71,7 +71,9 @@
 	peers, backend, store *h1.Client
 	controlClient         *peer.ControlClient
 	controlServer         *peer.ControlServer
-	leaving               atomic.Bool
+	// leaving is set when the process is to end, closed when its backend server
+	// takes no more work.
+	leaving, closed atomic.Bool
 	// grace is a time.Duration.
 	grace atomic.Int64
 }
@@ -140,9 +142,9 @@
 func (n *Node) wireCalls() {
 	n.seat = newSeat(seatOptions{
 		clock: n.clock, log: n.log, gate: n.gate, http: n.backend, metrics: n.metrics,
-		address: n.set.Backend(), leaving: n.leaving.Load,
+		address: n.set.Backend(), leaving: n.closed.Load,
 	})
-	n.server = &server{clock: n.clock, seat: n.seat}
+	n.server = &server{clock: n.clock, seat: n.seat, service: n.set.Service()}
 	n.entry = newEntry(entryOptions{
 		clock: n.clock, log: n.log, view: n.view, board: n.board, chooser: n.chooser, budgets: n.budgets,
 		splitter: n.splitter, seat: n.seat, client: &client{clock: n.clock, http: n.peers}, metrics: n.metrics,
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -25,8 +25,12 @@
 	// sets no bound, and keepIdle the time between two requests.
 	headTimeout = 10 * time.Second
 	keepIdle    = 2 * time.Minute
-	// lingerPart is the part of the grace during which a stopping node still
-	// takes the requests of callers that have not yet noticed.
+	// seatLinger is how long a stopping node still takes work for its backend
+	// server, and callerLinger how long it takes that of callers: the platform
+	// asks every second whether it is ready and needs two misses.
+	seatLinger   = 1200 * time.Millisecond
+	callerLinger = 2300 * time.Millisecond
+	// lingerPart bounds both as a part of the grace.
 	lingerPart = 0.5
 	// exitMargin is kept from the grace to end by itself.
 	exitMargin = 700 * time.Millisecond
@@ -144,7 +148,10 @@
 	n.leaving.Store(true)
 	grace := time.Duration(n.grace.Load())
 	end := started.Add(grace - exitMargin)
-	n.await(started.Add(time.Duration(lingerPart*float64(grace))), func() bool { return false })
+	most := time.Duration(lingerPart * float64(grace))
+	n.clock.Sleep(min(seatLinger, most))
+	n.closed.Store(true)
+	n.clock.Sleep(min(callerLinger, most) - n.clock.Since(started))
 	outbound.refuse()
 	n.await(end, func() bool { return outbound.open() == 0 && call.open() == 0 })
 	for _, l := range all {
--- /dev/null
+++ b/mesh/wire_test.go
@@ -0,0 +1,66 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"dogwoodhead/frame"
+)
+
+// TestHopRoundTrip guards against a request that arrives as another one: ids may
+// hold any character that a header may.
+func TestHopRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		word := rapid.StringMatching(`[a-z0-9-]{0,12}`)
+		sent := &call{
+			class: rapid.IntRange(0, frame.MaxClass).Draw(t, "class"), idempotent: rapid.Bool().Draw(t, "idempotent"),
+			repeat: rapid.Bool().Draw(t, "repeat"), route: word.Draw(t, "route"), origin: word.Draw(t, "origin"),
+			id: rapid.StringMatching(`[!-~]{0,40}`).Draw(t, "id"),
+		}
+		left := time.Duration(rapid.IntRange(1, 1e6).Draw(t, "left")) * time.Millisecond
+		got := &call{}
+		instance, gotLeft, err := got.parseHop(sent.hop("i-1", left))
+		require.NoError(t, err)
+		require.Equal(t, "i-1", instance)
+		require.Equal(t, left, gotLeft)
+		require.Equal(t, sent, got)
+	})
+}
+
+// TestReplyRoundTrip guards against an outcome that the next node takes for
+// another one.
+func TestReplyRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := result{
+			outcome: rapid.SampledFrom([]frame.Outcome{frame.Answered, frame.NotRun, frame.Unknown}).Draw(t, "outcome"),
+			reason:  rapid.SampledFrom([]frame.Reason{"", frame.ReasonFull, frame.ReasonDown}).Draw(t, "reason"),
+			feedback: &frame.Feedback{
+				Load:   frame.NewLoad(rapid.IntRange(0, 99).Draw(t, "used"), rapid.IntRange(0, 99).Draw(t, "limit")),
+				Strain: float64(rapid.IntRange(0, 100).Draw(t, "strain")) / 100, Failing: float64(rapid.IntRange(0, 100).Draw(t, "failing")) / 100,
+				Typical: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "typical")) * time.Millisecond,
+				Leaving: rapid.Bool().Draw(t, "leaving"), Deep: rapid.Bool().Draw(t, "deep"),
+			},
+		}
+		got, err := parseReply(sent.reply())
+		require.NoError(t, err)
+		require.Equal(t, sent, got)
+	})
+}
+
+// TestMalformedHop guards against a reply that is believed although it is not one.
+func TestMalformedHop(t *testing.T) {
+	for _, s := range []string{"", "a", "x;1/2;0;0;0;", "a;1;0;0;0;", "a;1/2;101;0;0;", "a;1/2;0;-1;0;", "a;1/2;0;0;0", ";1/2;0;0;0;"} {
+		_, err := parseReply(s)
+		var malformed *hopError
+		require.ErrorAs(t, err, &malformed, s)
+		require.NotEmpty(t, malformed.Field())
+	}
+	for _, s := range []string{"", "1;if;5;r;i;o", "99;if;5;r;i;o;id", "1;i;5;r;i;o;id", "1;if;x;r;i;o;id"} {
+		_, _, err := new(call).parseHop(s)
+		var malformed *hopError
+		require.ErrorAs(t, err, &malformed, s)
+	}
+}
