mesh: Read the store at two nodes of a zone, which feed the others

Change: two nodes of a zone read (rendezvous order, no messages), feed the zone after each change and every 0.4 s, and the next ones read after 0.9 to 1.3 s of silence; exchanges carry the changes since the other's revision; a watch that lacks a change which peers know of counts as broken after 0.4 s. Ruled out: shorter waits of each watch, which cost calls in proportion.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -13,7 +13,13 @@
 const (
 	// watchWait is how long a watch waits for a change. It bounds how long a
 	// watch whose answer was lost goes unnoticed.
-	watchWait = 3 * time.Second
+	watchWait = 5 * time.Second
+	// stuckAfter is how long a watch may lack a change that peers know of before
+	// its connection counts as broken, and stuckPoll how often that is looked at.
+	stuckAfter = 400 * time.Millisecond
+	stuckPoll  = 200 * time.Millisecond
+	// idlePoll is how often a follower that is not to read looks whether it is.
+	idlePoll = 50 * time.Millisecond
 	// firstPause and lastPause bound the wait after a failed call.
 	firstPause = 150 * time.Millisecond
 	lastPause  = time.Second
@@ -23,6 +29,9 @@
 // asked for.
 var ErrCompacted = errors.New("history is no longer available")
 
+// errStuck says that a watch lacks a change that peers know of.
+var errStuck = errors.New("watch lacks a change that peers know of")
+
 // FollowerOptions configures a Follower. All fields are required.
 type FollowerOptions struct {
 	Clock clockwork.Clock
@@ -34,6 +43,8 @@
 	// Watch returns the changes after a revision and the revision up to which
 	// they are complete, as soon as there is one or after the wait.
 	Watch func(ctx context.Context, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// Reading reports whether this node is to read the store now.
+	Reading func() bool
 	// Connected is told each time that the store is lost, with the error, or
 	// regained, with nil.
 	Connected func(err error)
@@ -62,9 +73,14 @@
 
 // Run reads the store and follows its changes until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	listed := false
+	listed := f.o.View.Rev() > 0
 	failures := 0
 	for ctx.Err() == nil {
+		if !f.o.Reading() {
+			f.up.Store(false)
+			f.sleep(ctx, idlePoll)
+			continue
+		}
 		var err error
 		if !listed {
 			err = f.read(ctx)
@@ -103,8 +119,15 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	events, rev, err := f.o.Watch(ctx, f.o.View.Rev(), watchWait)
+	after := f.o.View.Rev()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go f.guard(ctx, cancel, after)
+	events, rev, err := f.o.Watch(ctx, after, watchWait)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			return cause
+		}
 		return err
 	}
 	f.regained()
@@ -112,12 +135,25 @@
 	return nil
 }
 
+// guard ends a watch whose connection went silent: peers know of a change after
+// the watched revision, and the watch has not returned it.
+func (f *Follower) guard(ctx context.Context, cancel context.CancelCauseFunc, after uint64) {
+	for ctx.Err() == nil {
+		f.sleep(ctx, stuckPoll)
+		if f.o.View.Rev() <= after {
+			continue
+		}
+		f.sleep(ctx, stuckAfter)
+		cancel(errStuck)
+	}
+}
+
 func (f *Follower) regained() {
 	if f.up.Swap(true) {
 		return
 	}
 	if f.missed {
-		f.o.View.Returned()
+		f.o.View.Returned(0)
 	}
 	f.missed = false
 	f.o.Connected(nil)
@@ -137,6 +173,10 @@
 		d = min(2*d, lastPause)
 	}
 	d = d/2 + time.Duration(f.o.Random()*float64(d)/2)
+	f.sleep(ctx, d)
+}
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-f.o.Clock.After(d):
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -46,7 +46,7 @@
 	s := &scriptedStore{t: t, cancel: cancel, steps: steps}
 	var connected []bool
 	f := NewFollower(FollowerOptions{
-		Clock: clock, View: v, Random: func() float64 { return 0 },
+		Clock: clock, View: v, Random: func() float64 { return 0 }, Reading: func() bool { return true },
 		Config: func(context.Context) (*Config, error) {
 			st := s.next("config")
 			if st.rev == 0 {
@@ -106,3 +106,35 @@
 	require.Equal(t, 1, ids, "the server is used until it is missing for good")
 	require.Empty(t, v.Listing().Servers, "other nodes are not told of it")
 }
+
+// TestStuckWatch guards against a watch whose connection went silent: peers know
+// of a change that it does not return.
+func TestStuckWatch(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	v := NewView(ViewOptions{Clock: clock})
+	v.Replace(Listing{Rev: 10, Servers: []Server{server("a", 3)}})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	lost := make(chan error, 1)
+	watches := 0
+	f := NewFollower(FollowerOptions{
+		Clock: clock, View: v, Random: func() float64 { return 0 }, Reading: func() bool { return true },
+		Watch: func(ctx context.Context, _ uint64, _ time.Duration) ([]Event, uint64, error) {
+			watches++
+			if watches == 1 {
+				return nil, 10, nil
+			}
+			v.Apply([]Event{{Gone: "a", Rev: 11}}, 11)
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		},
+		Connected: func(err error) {
+			if err != nil {
+				lost <- err
+				cancel()
+			}
+		},
+	})
+	f.Run(ctx)
+	require.ErrorIs(t, <-lost, errStuck)
+}
--- a/catalog/server.go
+++ b/catalog/server.go
@@ -35,6 +35,17 @@
 	Rev uint64
 }
 
+// Change is one change of the list of backend servers, as nodes pass it on.
+type Change struct {
+	// Server is set for a changed or new entry, Gone for one that vanished.
+	Server *Server `json:"server,omitempty"`
+	Gone   string  `json:"gone,omitempty"`
+	Rev    uint64  `json:"rev"`
+}
+
+// Event returns the change as an event.
+func (c Change) Event() Event { return Event{Server: c.Server, Gone: c.Gone, Rev: c.Rev} }
+
 // Listing is the complete list of backend servers at a revision.
 type Listing struct {
 	Servers []Server `json:"servers"`
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -15,6 +15,9 @@
 // within that time.
 const lapseGrace = 2 * time.Second
 
+// maxChanges bounds the changes that are kept for nodes that are a little behind.
+const maxChanges = 256
+
 // record is a backend server with the time at which it stops being used.
 type record struct {
 	server Server
@@ -47,6 +50,9 @@
 	// rev never falls.
 	rev     uint64
 	servers map[string]record
+	// changes are those after the revision base, oldest first.
+	changes []Change
+	base    uint64
 	// configured and listed are when config and servers were last confirmed.
 	configured, listed time.Time
 	// returned is when the store answered again after it was away; zero before
@@ -112,12 +118,39 @@
 	return newer
 }
 
-// Returned records that the store answers again after it was away. Entries that
-// vanish soon afterwards may have lapsed meanwhile.
-func (v *View) Returned() {
+// Returned records that the store answered again, after it was away, the given
+// time ago. Entries that vanish soon afterwards may have lapsed meanwhile.
+func (v *View) Returned(ago time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.returned = v.clock.Now()
+	if at := v.clock.Now().Add(-ago); at.After(v.returned) {
+		v.returned = at
+	}
+}
+
+// SinceReturn returns how long ago the store returned, and false where it was
+// never away.
+func (v *View) SinceReturn() (time.Duration, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.clock.Since(v.returned), !v.returned.IsZero()
+}
+
+// Since returns the changes after a revision, and false where they are not all
+// known any more.
+func (v *View) Since(rev uint64) ([]Change, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if rev < v.base {
+		return nil, false
+	}
+	var out []Change
+	for _, c := range v.changes {
+		if c.Rev > rev {
+			out = append(out, c)
+		}
+	}
+	return out, true
 }
 
 // Apply takes over changes in the order of their revisions.
@@ -135,7 +168,10 @@
 				changed = v.put(*e.Server) || changed
 			case e.Gone != "":
 				changed = v.vanish(e.Gone, e.Rev, now) || changed
+			default:
+				continue
 			}
+			v.remember(Change{Server: e.Server, Gone: e.Gone, Rev: e.Rev})
 		}
 		v.advance(rev, now)
 		return changed
@@ -159,11 +195,26 @@
 				changed = v.vanish(id, l.Rev, now) || changed
 			}
 		}
+		if l.Rev > v.rev {
+			v.changes, v.base = nil, l.Rev
+		}
 		v.advance(l.Rev, now)
 		return changed
 	})
 }
 
+// remember keeps a change for nodes that are behind.
+func (v *View) remember(c Change) {
+	if c.Rev <= v.rev {
+		return
+	}
+	v.changes = append(v.changes, c)
+	if len(v.changes) > maxChanges {
+		v.base = v.changes[0].Rev
+		v.changes = v.changes[1:]
+	}
+}
+
 // Tick drops the servers whose lapsed entries did not return.
 func (v *View) Tick() {
 	v.change(func(now time.Time) bool {
--- a/catalog/view_test.go
+++ b/catalog/view_test.go
@@ -53,7 +53,7 @@
 	draining := server("d", 5)
 	draining.Draining = true
 	v.Replace(Listing{Rev: 10, Servers: []Server{server("a", 3), server("b", 4), draining}})
-	v.Returned()
+	v.Returned(0)
 	v.Apply([]Event{{Gone: "a", Rev: 11}, {Gone: "b", Rev: 12}, {Gone: "d", Rev: 13}}, 13)
 	require.Equal(t, []string{"a", "b"}, ids(), "a draining server has left")
 	clock.Advance(lapseGrace / 2)
@@ -132,6 +132,24 @@
 					got[s.ID] = s.Rev
 				}
 				require.Equal(t, history[reached].servers, got)
+				// A node that is behind gets there with the changes that are kept.
+				from := rapid.IntRange(0, int(reached)).Draw(t, "from")
+				changes, ok := v.Since(uint64(from))
+				if !ok {
+					return
+				}
+				behind, _, _ := newTestView()
+				l := Listing{Rev: uint64(from)}
+				for id, rev := range history[from].servers {
+					l.Servers = append(l.Servers, server(id, rev))
+				}
+				behind.Replace(l)
+				var events []Event
+				for _, c := range changes {
+					events = append(events, c.Event())
+				}
+				behind.Apply(events, v.Rev())
+				require.Equal(t, v.Listing(), behind.Listing())
 			},
 		})
 	})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -64,6 +64,7 @@
 	entry      *entry
 	server     *server
 	syncer     *syncer
+	feeder     *feeder
 	metrics    *operator.Metrics
 	controlSet *metrics.Set
 	// peers, backend and store are the connections to other nodes, to the backend
@@ -158,16 +159,19 @@
 	})
 	n.follower = catalog.NewFollower(catalog.FollowerOptions{
 		Clock: n.clock, View: n.view, Config: store.Config, List: store.List, Watch: store.Watch,
-		Connected: n.connected, Random: rand.Float64,
+		Connected: n.connected, Random: rand.Float64, Reading: func() bool { return n.feeder.reading() },
 	})
 	n.controlClient = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: n.controlSet, Dial: dial})
 	n.syncer = newSyncer(syncOptions{
 		clock: n.clock, log: n.log, view: n.view,
 		self: net.JoinHostPort(n.set.IP(), strconv.Itoa(n.set.ControlPort())), port: n.set.ControlPort(),
-		up: n.follower.Up, ask: n.controlClient.View,
+		zone: n.set.Zone(), informed: func() bool { return n.feeder.informed() }, ask: n.controlClient.View,
+	})
+	n.feeder = newFeeder(feedOptions{
+		clock: n.clock, log: n.log, sync: n.syncer, self: n.syncer.o.self, up: n.follower.Up, send: n.controlClient.Feed,
 	})
 	n.controlServer = peer.NewControlServer(peer.ControlServerOptions{
-		Metrics: n.controlSet, Handlers: peer.Handlers{View: n.syncer.handle},
+		Metrics: n.controlSet, Handlers: peer.Handlers{View: n.syncer.handle, Feed: n.feeder.handle},
 	})
 }
 
@@ -185,6 +189,7 @@
 // configured takes over a new configuration.
 func (n *Node) configured(c *catalog.Config) {
 	n.splitter.configure()
+	n.feeder.changed()
 	n.log.WithFields(logrus.Fields{"config": c.Version(), "routes": len(c.Document().Routes)}).Info("configuration in force")
 }
 
@@ -204,6 +209,7 @@
 		}
 	}
 	n.board.SetMembers(board.NewMembers(n.view.Rev(), vms))
+	n.feeder.changed()
 	n.forget(servers)
 	n.syncer.learn(servers)
 	n.budgets.resize(n.syncer.nodes() + 1)
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -70,6 +70,7 @@
 	wg.Go(func() { n.controlClient.Run(work) })
 	wg.Go(func() { n.follower.Run(work) })
 	wg.Go(func() { n.syncer.run(work) })
+	wg.Go(func() { n.feeder.run(work) })
 	wg.Go(func() { n.tick(work) })
 	n.log.WithFields(logrus.Fields{
 		"vm": n.set.VM(), "service": n.set.Service(), "zone": n.set.Zone(), "version": n.version,
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -17,12 +17,14 @@
 
 const (
 	// calmInterval and lostInterval are the times between two exchanges with
-	// peers, while the store answers and while it does not.
-	calmInterval = time.Second
+	// peers, while this node is told of changes and while it is not.
+	calmInterval = 500 * time.Millisecond
 	lostInterval = 100 * time.Millisecond
 	// remembered is how long the address of a VM is asked after its backend
 	// server left the list: the node beside it may still run, and may know no one.
 	remembered = 2 * time.Minute
+	// recentReturn is how long the return of the store is passed on.
+	recentReturn = 10 * time.Second
 )
 
 // syncOptions configures a syncer. All fields are required.
@@ -33,10 +35,13 @@
 	// self is this node's control address, port that of all nodes.
 	self string
 	port int
-	// up reports whether the store answers this node.
-	up func() bool
+	// zone is the own zone.
+	zone string
+	// informed reports whether this node is told of changes, by the store or by a
+	// node that reads it.
+	informed func() bool
 	// ask makes one exchange.
-	ask func(ctx context.Context, addr string, r peer.ViewRequest) (peer.ViewReply, error)
+	ask func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error)
 	// pick returns a number in [0, n).
 	pick func(n int) int
 }
@@ -47,15 +52,22 @@
 	o syncOptions
 
 	mu sync.Mutex
-	// known maps a control address to when it was last known to be a node's.
-	known map[string]time.Time
+	// known maps a control address to what is known of the node.
+	known map[string]knownNode
+}
+
+// knownNode is a node that was heard of.
+type knownNode struct {
+	// zone is empty where the list never named it.
+	zone string
+	at   time.Time
 }
 
 func newSyncer(o syncOptions) *syncer {
 	if o.pick == nil {
 		o.pick = rand.IntN
 	}
-	return &syncer{o: o, known: make(map[string]time.Time)}
+	return &syncer{o: o, known: make(map[string]knownNode)}
 }
 
 // learn remembers the VMs of the listed backend servers.
@@ -65,11 +77,11 @@
 	defer s.mu.Unlock()
 	for _, server := range servers {
 		if addr := onPort(server.Address, s.o.port); addr != "" && addr != s.o.self {
-			s.known[addr] = now
+			s.known[addr] = knownNode{zone: server.Zone, at: now}
 		}
 	}
-	for addr, at := range s.known {
-		if now.Sub(at) > remembered {
+	for addr, k := range s.known {
+		if now.Sub(k.at) > remembered {
 			delete(s.known, addr)
 		}
 	}
@@ -91,6 +103,19 @@
 	return len(s.known)
 }
 
+// neighbours returns the other nodes of the own zone.
+func (s *syncer) neighbours() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for addr, k := range s.known {
+		if k.zone == s.o.zone {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 func (s *syncer) choose() (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,7 +136,7 @@
 func (s *syncer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := calmInterval
-		if !s.o.up() {
+		if !s.o.informed() {
 			wait = lostInterval
 		}
 		select {
@@ -127,41 +152,80 @@
 
 // exchange asks one node and takes over what it knows better.
 func (s *syncer) exchange(ctx context.Context, addr string) {
-	reply, err := s.o.ask(ctx, addr, s.request())
+	u, err := s.o.ask(ctx, addr, s.state())
 	if err != nil {
 		s.o.log.WithFields(logrus.Fields{"peer": addr, "error": err.Error()}).Debug("peer does not answer")
 		return
 	}
-	if reply.Config != nil && s.o.view.Offer(catalog.NewConfig(*reply.Config)) {
-		s.o.log.WithFields(logrus.Fields{"peer": addr, "config": reply.Config.Version}).Info("configuration from peer")
-	}
-	if reply.List != nil {
-		s.o.log.WithFields(logrus.Fields{"peer": addr, "list": reply.List.Rev, "servers": len(reply.List.Servers)}).Info("list from peer")
-		s.o.view.Replace(*reply.List)
-	}
+	s.take(u, addr)
 }
 
-func (s *syncer) request() peer.ViewRequest {
-	return peer.ViewRequest{Version: s.o.view.Version(), Rev: s.o.view.Rev(), Lost: !s.o.up(), From: s.o.self}
+// state says what this node knows.
+func (s *syncer) state() peer.ViewRequest {
+	return peer.ViewRequest{Version: s.o.view.Version(), Rev: s.o.view.Rev(), From: s.o.self}
 }
 
-// handle answers another node. A sender that knows more is asked in turn, where
-// this node can't learn it from the store.
-func (s *syncer) handle(ctx context.Context, r peer.ViewRequest) (peer.ViewReply, error) {
-	s.mu.Lock()
-	s.known[r.From] = s.o.clock.Now()
-	s.mu.Unlock()
-	reply := peer.ViewReply{Version: s.o.view.Version(), Rev: s.o.view.Rev()}
+// take takes over an update. One that starts at a later revision has no effect.
+func (s *syncer) take(u peer.Update, from string) {
+	if u.Config != nil && s.o.view.Offer(catalog.NewConfig(*u.Config)) {
+		s.o.log.WithFields(logrus.Fields{"peer": from, "config": u.Config.Version}).Info("configuration from peer")
+	}
+	if u.Rev <= s.o.view.Rev() {
+		return
+	}
+	if u.Returned > 0 {
+		s.o.view.Returned(u.Returned)
+	}
+	switch {
+	case u.List != nil:
+		s.o.view.Replace(*u.List)
+	case u.Base > 0 && u.Base <= s.o.view.Rev():
+		events := make([]catalog.Event, 0, len(u.Changes))
+		for _, c := range u.Changes {
+			events = append(events, c.Event())
+		}
+		s.o.view.Apply(events, u.Rev)
+	default:
+		return
+	}
+	if u.List != nil || len(u.Changes) > 0 {
+		s.o.log.WithFields(logrus.Fields{"peer": from, "list": u.Rev, "changes": len(u.Changes)}).Info("list from peer")
+	}
+}
+
+// update returns what this node knows better than another.
+func (s *syncer) update(r peer.ViewRequest) peer.Update {
+	u := peer.Update{Version: s.o.view.Version(), Rev: s.o.view.Rev()}
 	if c := s.o.view.Config(); c != nil && c.Version() > r.Version {
 		d := c.Document()
-		reply.Config = &d
+		u.Config = &d
+	}
+	if u.Rev <= r.Rev {
+		return u
 	}
-	if r.Lost && reply.Rev > r.Rev {
-		l := s.o.view.Listing()
-		reply.List = &l
+	if ago, ok := s.o.view.SinceReturn(); ok && ago < recentReturn {
+		u.Returned = max(ago, 1)
 	}
-	if !s.o.up() && (r.Version > reply.Version || r.Rev > reply.Rev) {
+	changes, ok := s.o.view.Since(r.Rev)
+	if ok && r.Rev > 0 {
+		u.Base, u.Changes = r.Rev, changes
+		return u
+	}
+	l := s.o.view.Listing()
+	u.List, u.Rev = &l, l.Rev
+	return u
+}
+
+// handle answers another node, and asks it in turn where it knows more.
+func (s *syncer) handle(ctx context.Context, r peer.ViewRequest) (peer.Update, error) {
+	s.mu.Lock()
+	k := s.known[r.From]
+	k.at = s.o.clock.Now()
+	s.known[r.From] = k
+	s.mu.Unlock()
+	u := s.update(r)
+	if r.Version > u.Version || r.Rev > u.Rev {
 		go s.exchange(context.WithoutCancel(ctx), r.From)
 	}
-	return reply, nil
+	return u, nil
 }
--- a/peer/control.go
+++ b/peer/control.go
@@ -23,6 +23,7 @@
 	methodPush  = "push"
 	methodPull  = "pull"
 	methodView  = "view"
+	methodFeed  = "feed"
 )
 
 const (
@@ -57,7 +58,9 @@
 	Push        func(context.Context, relay.PushRequest) (relay.PushReply, error)
 	Pull        func(context.Context, relay.PullRequest) (relay.PullReply, error)
 	// View exchanges what two nodes know of the platform's store.
-	View func(context.Context, ViewRequest) (ViewReply, error)
+	View func(context.Context, ViewRequest) (Update, error)
+	// Feed takes over an update and says what the node knows then.
+	Feed func(context.Context, Feed) (ViewRequest, error)
 }
 
 // handle decodes the parameters, runs the handler and returns its result.
@@ -75,6 +78,8 @@
 		return serve(ctx, req, h.Pull)
 	case methodView:
 		return serve(ctx, req, h.View)
+	case methodFeed:
+		return serve(ctx, req, h.Feed)
 	default:
 		return nil, fmt.Errorf("%w: %q", jsonrpc2.ErrMethodNotFound, req.Method)
 	}
--- a/peer/control_client.go
+++ b/peer/control_client.go
@@ -101,8 +101,13 @@
 }
 
 // View exchanges what the two nodes know of the platform's store.
-func (c *ControlClient) View(ctx context.Context, addr string, r ViewRequest) (ViewReply, error) {
-	return call[ViewReply](ctx, c, addr, methodView, r)
+func (c *ControlClient) View(ctx context.Context, addr string, r ViewRequest) (Update, error) {
+	return call[Update](ctx, c, addr, methodView, r)
+}
+
+// Feed sends an update unasked and returns what the peer knows then.
+func (c *ControlClient) Feed(ctx context.Context, addr string, f Feed) (ViewRequest, error) {
+	return call[ViewRequest](ctx, c, addr, methodFeed, f)
 }
 
 // Run closes idle connections until ctx is done, then all of them.
