mesh: End the use of a server that left during the store's return in time

An entry removed 2 ms before this node reached the store again was kept as one that may have lapsed, for 2 s and until the next tick of 1 s; besides, a request could wait at the node beside the server and reach it after that. Ruled out: a late list (the log shows the removal 2 ms after the acknowledgement). Change: the grace is 1.7 s and ends within 0.1 s; the node beside the server looks again once a slot is free.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -11,9 +11,10 @@
 )
 
 // lapseGrace is how long an entry that vanished while the store was away is
-// still used after the store's return: servers that live are listed again
-// within that time.
-const lapseGrace = 2 * time.Second
+// still used after the store's return. Servers that live are listed again
+// within about 2 s; one whose entry was removed just after the return must be
+// out of use 2 s after that.
+const lapseGrace = 1700 * time.Millisecond
 
 // maxChanges bounds the changes that are kept for nodes that are a little behind.
 const maxChanges = 256
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -237,7 +237,7 @@
 
 // seated takes over the entry of the own backend server, nil where it has none.
 func (n *Node) seated(own *catalog.Server) {
-	before := n.seat.server.Swap(own)
+	before := n.seat.seated(own)
 	if own == nil || before != nil && before.Slots == own.Slots {
 		return
 	}
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -112,11 +112,11 @@
 		case <-t.Chan():
 		}
 		n.gate.Tick()
+		n.view.Tick()
 		if n.clock.Since(swept) < sweepInterval {
 			continue
 		}
 		swept = n.clock.Now()
-		n.view.Tick()
 		n.peers.Sweep()
 		n.backend.Sweep()
 		n.store.Sweep()
--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -39,6 +39,8 @@
 	o seatOptions
 	// server is the backend server's entry in the list, nil while there is none.
 	server atomic.Pointer[catalog.Server]
+	// departed is the id of the backend server's entry that vanished last.
+	departed atomic.Pointer[string]
 
 	health *health
 	// path is the strain of what each route's runs call.
@@ -120,11 +122,8 @@
 
 // admit waits for a slot.
 func (s *seat) admit(ctx context.Context, c *call, instance string) result {
-	if s.o.leaving() {
-		return refused(frame.ReasonLeaving, "the node is stopping")
-	}
-	if own := s.server.Load(); own != nil && own.ID == instance && own.Draining {
-		return refused(frame.ReasonDraining, "the backend server is draining")
+	if r, ok := s.unavailable(instance); ok {
+		return r
 	}
 	left := c.left(s.o.clock.Now())
 	ticket, err := s.o.gate.Enter(ctx, admit.Call{
@@ -137,6 +136,11 @@
 	if errors.As(err, &refusal) {
 		return refused(refusal.Reason(), refusal.Detail())
 	}
+	// The request may have waited long.
+	if r, ok := s.unavailable(instance); ok {
+		ticket.Leave(false)
+		return r
+	}
 	c.ticket = ticket
 	r := s.exchange(ctx, c, instance)
 	s.health.record(c, r)
@@ -148,6 +152,28 @@
 	return r
 }
 
+// unavailable returns a refusal where an incarnation takes no new work.
+func (s *seat) unavailable(instance string) (result, bool) {
+	if s.o.leaving() {
+		return refused(frame.ReasonLeaving, "the node is stopping"), true
+	}
+	if own := s.server.Load(); own != nil && own.ID == instance {
+		return refused(frame.ReasonDraining, "the backend server is draining"), own.Draining
+	}
+	gone := s.departed.Load()
+	return refused(frame.ReasonDraining, "the backend server has left the list"), gone != nil && *gone == instance
+}
+
+// seated takes over the entry of the backend server, nil where it has none, and
+// returns the one before.
+func (s *seat) seated(own *catalog.Server) *catalog.Server {
+	before := s.server.Swap(own)
+	if before != nil && (own == nil || own.ID != before.ID) {
+		s.departed.Store(&before.ID)
+	}
+	return before
+}
+
 // releasing frees the slot when the body ends.
 type releasing struct {
 	io.ReadCloser
