trial: Soak nodes of the users' platform with faults from outside

Nodes run as processes; links, store, backend servers and signals are disturbed at random, in series and overlapping; answers, runs, refusals, budget, drain, configuration, planned stops and the return after all nodes were killed are checked.

--- a/standin/app.go
+++ b/standin/app.go
@@ -63,6 +63,27 @@
 	// bodies and targets are what arrived, by request id.
 	bodies, targets map[string]string
 	hung            int
+	arrivals        []Arrival
+}
+
+// Arrival is one request that reached an App, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// Arrivals returns all requests that reached the app and were meant for it.
+func (a *App) Arrivals() []Arrival {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Arrival(nil), a.arrivals...)
+}
+
+// arrive records a request.
+func (a *App) arrive(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.arrivals = append(a.arrivals, Arrival{ID: id, At: time.Now()})
 }
 
 // NewApp returns an app that does not listen yet.
@@ -84,6 +105,12 @@
 	return nil
 }
 
+// ID returns the app's id.
+func (a *App) ID() string { return a.o.ID }
+
+// Service returns the service that the app serves.
+func (a *App) Service() string { return a.o.Service }
+
 // Stop ends the app and its connections at once.
 func (a *App) Stop() { _ = a.http.Close() }
 
@@ -148,6 +175,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	a.arrive(id)
 	fault := AppFault("")
 	if a.o.Fault != nil {
 		fault = a.o.Fault(id)
--- /dev/null
+++ b/trial/mesh_faults.go
@@ -0,0 +1,220 @@
+package trial
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"dogwoodhead/standin"
+)
+
+const (
+	// faultGap is the mean time between two faults, faultLength how long one lasts.
+	// Faults overlap.
+	faultGap    = 700 * time.Millisecond
+	faultLength = 1500 * time.Millisecond
+	// drainTime is how long a backend server that is draining still serves.
+	drainTime = 5 * time.Second
+)
+
+// meshFault begins a fault at a VM and returns how to end it, nil where it ends
+// by itself.
+type meshFault struct {
+	name  string
+	begin func(s *meshSoak, vm *meshVM) (end func())
+	// length is how long the fault lasts; faultLength where it is 0.
+	length time.Duration
+	// planned faults are changes that must not disturb anybody.
+	planned bool
+}
+
+func linkFault(m linkMode) func(*meshSoak, *meshVM) func() {
+	return func(_ *meshSoak, vm *meshVM) func() {
+		vm.call.set(m)
+		vm.ctl.set(m)
+		return func() {
+			vm.call.set(linkOpen)
+			vm.ctl.set(linkOpen)
+		}
+	}
+}
+
+func storeFault(m standin.StoreMode) func(*meshSoak, *meshVM) func() {
+	return func(s *meshSoak, _ *meshVM) func() {
+		s.store.SetMode(m)
+		return func() { s.store.SetMode(standin.StoreUp) }
+	}
+}
+
+func appFault(f standin.AppFault) func(*meshSoak, *meshVM) func() {
+	return func(_ *meshSoak, vm *meshVM) func() {
+		vm.fault.Store("", f)
+		return func() { vm.fault.Delete("") }
+	}
+}
+
+var meshFaults = []meshFault{
+	{name: "kill", begin: func(s *meshSoak, vm *meshVM) func() {
+		vm.process.Kill()
+		return func() { s.restart(vm) }
+	}, length: 300 * time.Millisecond},
+	{name: "term", begin: (*meshSoak).term, planned: true},
+	{name: "hup", begin: func(_ *meshSoak, vm *meshVM) func() {
+		_ = vm.process.cmd.Process.Signal(syscall.SIGHUP)
+		return nil
+	}, planned: true},
+	{name: "pause", begin: func(_ *meshSoak, vm *meshVM) func() {
+		p := vm.process
+		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+		return func() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+	}},
+	{name: "slow", begin: linkFault(linkSlow)},
+	{name: "oneway", begin: linkFault(linkOneWay)},
+	{name: "silent", begin: linkFault(linkSilent)},
+	{name: "reset", begin: func(_ *meshSoak, vm *meshVM) func() {
+		vm.call.reset()
+		vm.ctl.reset()
+		return nil
+	}},
+	{name: "store-cut", begin: func(_ *meshSoak, vm *meshVM) func() {
+		vm.storeLink.set(linkSilent)
+		return func() { vm.storeLink.set(linkOpen) }
+	}},
+	{name: "store-busy", begin: storeFault(standin.StoreBusy)},
+	{name: "store-silent", begin: storeFault(standin.StoreSilent)},
+	{name: "store-compact", begin: func(s *meshSoak, _ *meshVM) func() {
+		s.store.Compact()
+		return nil
+	}},
+	{name: "app-lose", begin: appFault(standin.AppLose)},
+	{name: "app-cut", begin: appFault(standin.AppCut)},
+	{name: "app-extra", begin: appFault(standin.AppExtra)},
+	{name: "app-shed", begin: appFault(standin.AppShed)},
+	{name: "app-fail", begin: appFault(standin.AppFail)},
+	{name: "config", begin: func(s *meshSoak, _ *meshVM) func() {
+		s.putConfig()
+		return nil
+	}, planned: true},
+	{name: "drain", begin: (*meshSoak).drain, length: drainTime, planned: true},
+}
+
+// inject begins and ends faults until the length is over and all have ended.
+func (s *meshSoak) inject(ctx context.Context) {
+	sleep(ctx, meshLead)
+	type pending struct {
+		at  time.Time
+		end func()
+	}
+	var open []pending
+	finish := func(all bool) {
+		kept := open[:0]
+		for _, p := range open {
+			if !all && time.Now().Before(p.at) {
+				kept = append(kept, p)
+				continue
+			}
+			sleep(ctx, time.Until(p.at))
+			s.locked(p.end)
+		}
+		open = kept
+	}
+	end := time.Now().Add(s.o.Length)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		f := meshFaults[s.random.IntN(len(meshFaults))]
+		vm := s.vms[s.random.IntN(len(s.vms))]
+		length := f.length
+		if length == 0 {
+			length = time.Duration((0.5 + s.random.Float64()) * float64(faultLength))
+		}
+		s.locked(func() {
+			if stop := s.begin(f, vm, length); stop != nil {
+				open = append(open, pending{at: time.Now().Add(length), end: stop})
+			}
+		})
+		sleep(ctx, time.Duration((0.3+s.random.ExpFloat64()*0.7)*float64(faultGap)))
+		finish(false)
+	}
+	finish(true)
+}
+
+func (s *meshSoak) locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// begin starts a fault and notes it. The caller holds the lock.
+func (s *meshSoak) begin(f meshFault, vm *meshVM, length time.Duration) func() {
+	now := time.Now()
+	e := event{kind: f.name, vm: vm.index, at: now, until: now.Add(length), app: vm.app.ID(), starts: vm.starts}
+	if !f.planned {
+		e.kind = "fault " + f.name
+	}
+	stop := f.begin(s, vm)
+	s.events = append(s.events, e)
+	s.faults = append(s.faults, f.name)
+	return stop
+}
+
+// restart starts the node's process again, where it does not run.
+func (s *meshSoak) restart(vm *meshVM) {
+	if vm.process.Running() {
+		return
+	}
+	if err := s.startNode(vm); err != nil {
+		s.events = append(s.events, event{kind: "broken start: " + err.Error(), vm: vm.index, at: time.Now()})
+	}
+}
+
+// term stops the process as planned and starts it again once it is gone.
+func (s *meshSoak) term(vm *meshVM) func() {
+	p := vm.process
+	if !p.Running() {
+		return nil
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	return func() {
+		select {
+		case <-p.ended:
+		case <-time.After(meshGrace + time.Second):
+			s.events = append(s.events, event{kind: "broken stop: beyond the grace", vm: vm.index, at: time.Now()})
+			p.Kill()
+		}
+		if p == vm.process {
+			s.restart(vm)
+		}
+	}
+}
+
+// drain takes the backend server out of service and replaces it.
+func (s *meshSoak) drain(vm *meshVM) func() {
+	old := vm.app
+	if !vm.drainedSince.IsZero() {
+		return nil
+	}
+	vm.drainedSince = time.Now()
+	old.Register(s.store, true)
+	return func() {
+		s.store.Delete("servers/" + old.ID())
+		old.Stop()
+		if err := s.startApp(vm); err != nil {
+			s.events = append(s.events, event{kind: "broken start: " + err.Error(), vm: vm.index, at: time.Now()})
+		}
+	}
+}
+
+// killAll kills all nodes at the same time and starts them again.
+func (s *meshSoak) killAll() {
+	s.locked(func() {
+		now := time.Now()
+		s.events = append(s.events, event{kind: "fault kill-all", vm: -1, at: now, until: now.Add(meshRecovery)})
+		for _, vm := range s.vms {
+			if vm.process.Running() {
+				vm.process.Kill()
+			}
+		}
+		for _, vm := range s.vms {
+			s.restart(vm)
+		}
+	})
+}
