mesh: Strengthen the tests of budget sum and of stops

Cause: with each mechanism broken on purpose, TestBudgetSum and TestStop passed: the sum mixed two kinds of requests so that one hid the other, and the requests of TestStop were over before the stop could cut them. Change: the kinds are drawn and every permit is taken; requests last longer than the time for which the backend server is still used.

--- a/mesh/budget_test.go
+++ b/mesh/budget_test.go
@@ -41,6 +41,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		clock := clockwork.NewFakeClock()
 		n := rapid.IntRange(1, 40).Draw(t, "nodes")
+		kinds := rapid.SampledFrom([][]bool{{true}, {false}, {true, false}}).Draw(t, "kinds")
 		fresh := func() *budgets {
 			b := newBudgets(ratio, slack, clock)
 			b.resize(n)
@@ -58,11 +59,11 @@
 				}
 				load := rapid.IntRange(0, 30).Draw(t, "load")
 				for range load {
-					for _, deep := range []bool{true, false} {
+					for _, deep := range kinds {
 						k := budgetKey{service: "s", deep: deep}
 						nodes[i].request(k, false)
 						requests[s]++
-						if nodes[i].take(k, 0) {
+						for nodes[i].take(k, 0) {
 							repeats[s]++
 						}
 					}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -346,7 +346,7 @@
 func TestStop(t *testing.T) {
 	f := newFleet(t)
 	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
-	one := f.add(standin.AppOptions{ID: "i-1", Service: "one", Slots: 50, Work: 100 * time.Millisecond})
+	one := f.add(standin.AppOptions{ID: "i-1", Service: "one", Slots: 50, Work: 1600 * time.Millisecond})
 	f.config(1, routeTo("one", "/x/", "unsafe"), routeTo("shop", "/shop/", "safe"))
 	replies := make(chan reply, 20)
 	for i := range cap(replies) {
