mesh: Use a node again after its restart; weigh failures against the soundest server

Found through 164 calls that had a permit for a repeat and no server to send it to. Besides, failures count with the power 8 and relative to the soundest server.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -69,6 +69,8 @@
 	offers  int
 	runs    int
 	last    string
+	// denied says that a repeat was not made for want of a permit.
+	denied bool
 }
 
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -243,7 +245,7 @@
 		t.offers++
 		t.last = vm.Name()
 		e.compare(c, vm, r)
-		e.o.chooser.Report(vm.Name(), route.Report{Err: r.err(), Feedback: r.feedback})
+		e.o.chooser.Report(vm.Name(), reportOf(r))
 		if r.outcome == frame.Answered && r.feedback != nil {
 			e.learnLeaf(c.route, !r.feedback.Deep)
 		}
@@ -258,6 +260,18 @@
 	return sofar
 }
 
+// reportOf returns what the chooser is told. A node that is leaving is avoided
+// for a time and not for good: its successor on the VM has no other way to say
+// that it is there.
+func reportOf(r result) route.Report {
+	if r.feedback == nil || !r.feedback.Leaving {
+		return route.Report{Err: r.err(), Feedback: r.feedback}
+	}
+	heard := *r.feedback
+	heard.Leaving = false
+	return route.Report{Err: frame.Refuse(frame.ReasonDown, "the node is stopping"), Feedback: &heard}
+}
+
 // compare sets how slow a backend server is beside the others of its service.
 func (e *entry) compare(c *call, vm board.VM, r result) {
 	if r.feedback == nil || r.feedback.Typical == 0 {
@@ -307,7 +321,7 @@
 		case frame.ReasonDown:
 			// The backend server itself turned the request away, which counts as one
 			// that it got.
-			return e.o.budgets.take(e.budget(c), urgency(c))
+			return e.permit(c, t)
 		}
 		return true
 	}
@@ -320,13 +334,19 @@
 			attempts = to.Attempts
 		}
 	}
-	if t.runs >= attempts || !e.o.budgets.take(e.budget(c), urgency(c)) {
+	if t.runs >= attempts || !e.permit(c, t) {
 		return false
 	}
 	c.repeat = true
 	return true
 }
 
+// permit asks for a permit to send a request once more.
+func (e *entry) permit(c *call, t *trip) bool {
+	t.denied = !e.o.budgets.take(e.budget(c), urgency(c))
+	return !t.denied
+}
+
 // failed reports whether a result may become a better one elsewhere.
 func failed(r result) bool {
 	return r.outcome == frame.Unknown || r.answer.status == http.StatusInternalServerError
@@ -423,7 +443,7 @@
 	fields := logrus.Fields{
 		"request": c.id, "route": c.route, "service": c.service, "class": c.class, "idempotent": c.idempotent,
 		"outcome": r.outcome.String(), "reason": string(r.reason), "detail": r.detail, "instance": t.last,
-		"offers": t.offers, "runs": t.runs, "took": took.Milliseconds(),
+		"offers": t.offers, "runs": t.runs, "denied": t.denied, "repeat": c.repeat, "took": took.Milliseconds(),
 		"left":   c.left(e.o.clock.Now()).Milliseconds(),
 		"config": e.o.view.Version(), "configAge": config.Milliseconds(),
 		"list": e.o.view.Rev(), "listAge": list.Milliseconds(),
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -42,8 +42,9 @@
 	// spill is the utilisation of the own zone above which others are used. Bytes
 	// between zones are dear, and the queue holds what is a little above the slots.
 	spill = 1
-	// queuePart is the length of the queue in slots.
-	queuePart = 2
+	// queuePart is the length of the queue in slots. Patience and deadlines bound
+	// the wait; a short queue would evict calls of running work.
+	queuePart = 16
 )
 
 // Node is one process on the users' platform.
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -17,9 +17,9 @@
 	// failingHalfLife is the age at which a reported part of failures counts half,
 	// so that a server that gets no calls is tried again.
 	failingHalfLife = 2 * time.Second
-	// failingPower weighs failures: a server that fails half of its calls counts
-	// with an eighth of its limit.
-	failingPower = 3
+	// failingPower weighs failures. One request can need many calls, and fails
+	// with the first of them that does.
+	failingPower = 8
 	// tolerated is how much slower than the others a server may be. Servers of one
 	// service differ, and a slower one of the own zone is still the best choice.
 	tolerated = 2.5
@@ -61,8 +61,11 @@
 	vm *board.VM
 	// used estimates calls in flight and queued, not negative.
 	used float64
-	// limit is the concurrency limit, above 0.
+	// limit is the concurrency limit, above 0; that of a server which fails calls
+	// counts in part once weigh has compared it with the others.
 	limit float64
+	// sound is the part that counts, above 0.
+	sound float64
 }
 
 // newCandidate estimates the load of a peer: the reported one, which counts less
@@ -74,7 +77,19 @@
 	}
 	age := max(now.Sub(p.Seen), 0)
 	reported := float64(p.Load.Used()) * math.Exp2(-float64(age)/float64(halfLife))
-	return candidate{vm: vm, used: reported + float64(p.Inflight), limit: float64(limit) * soundness(p, age)}
+	return candidate{vm: vm, used: reported + float64(p.Inflight), limit: float64(limit), sound: soundness(p, age)}
+}
+
+// weigh reduces the limits of servers that fail more calls, or are slower, than
+// the soundest one. Where all do, none is worth a longer way.
+func weigh(cs []candidate) {
+	best := minSoundness
+	for i := range cs {
+		best = max(best, cs[i].sound)
+	}
+	for i := range cs {
+		cs[i].limit *= cs[i].sound / best
+	}
 }
 
 // soundness returns the part of a peer's limit that counts. A backend server
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -113,6 +113,7 @@
 		}
 		cs = append(cs, newCandidate(vm, p, now, slots))
 	}
+	weigh(cs)
 	return cs
 }
 
--- a/route/zone.go
+++ b/route/zone.go
@@ -45,7 +45,7 @@
 		return self.Zone()
 	}
 	for i := range zones {
-		zones[i].weight = weigh(zones[i], self, c.zoneSettings(zones[i].name))
+		zones[i].weight = share(zones[i], self, c.zoneSettings(zones[i].name))
 	}
 	if c.stays(zones, region, spill) {
 		return c.weighted(zones, region)
@@ -85,8 +85,8 @@
 	return over <= 0 || over < 1 && c.float() >= over
 }
 
-// weigh returns the room in a zone, divided by what using it costs from here.
-func weigh(z zoneLoad, self board.VM, settings policy.Zone) float64 {
+// share returns the room in a zone, divided by what using it costs from here.
+func share(z zoneLoad, self board.VM, settings policy.Zone) float64 {
 	if z.name == self.Zone() {
 		return max(z.limit-z.used, ownReserve*z.limit)
 	}
