--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -36,7 +36,7 @@
 
 // fleet is a store and nodes beside stand-ins of backend servers.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *standin.Store
 	addr  string
 	net   string
@@ -73,7 +73,7 @@
 	return l.buf.String()
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: standin.NewStore()}
 	f.net = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, subnet.Add(1))
@@ -155,6 +155,9 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// testClient keeps connections, as callers do.
+var testClient = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 100}}
+
 // reply is what a caller gets.
 type reply struct {
 	status int
@@ -183,8 +186,7 @@
 	for name, value := range r.header {
 		req.Header.Set(name, value)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	resp, err := client.Do(req)
+	resp, err := testClient.Do(req)
 	if err != nil {
 		return reply{err: err}
 	}
