--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -14,6 +14,9 @@
 	// watchWait is how long a watch waits for a change. It bounds how long a
 	// watch whose answer was lost goes unnoticed.
 	watchWait = 5 * time.Second
+	// gather is the pause after a change, so that one call gets the changes of a
+	// burst. It delays only those that follow another one.
+	gather = 100 * time.Millisecond
 	// stuckAfter is how long a watch may lack a change that peers know of before
 	// its connection counts as broken, and stuckPoll how often that is looked at.
 	stuckAfter = 400 * time.Millisecond
@@ -132,6 +135,9 @@
 	}
 	f.regained()
 	f.o.View.Apply(events, rev)
+	if len(events) > 0 {
+		f.sleep(ctx, gather)
+	}
 	return nil
 }
 
--- a/h1/client_test.go
+++ b/h1/client_test.go
@@ -269,7 +269,7 @@
 		_, _ = io.Copy(io.Discard, br)
 	}()
 	body, more := io.Pipe()
-	defer more.Close()
+	defer func() { _ = more.Close() }()
 	go func() { _, _ = more.Write([]byte("first")) }()
 	c := newTestClient()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -15,6 +15,7 @@
 	"dogwoodhead/admit"
 	"dogwoodhead/catalog"
 	"dogwoodhead/frame"
+	"dogwoodhead/h1"
 	"dogwoodhead/platform"
 )
 
@@ -184,6 +185,14 @@
 	feedback *frame.Feedback
 }
 
+// discard ends an answer that nobody gets. It frees the slot of one whose body
+// is still on its way.
+func (r result) discard() {
+	if r.answer != nil && r.answer.stream != nil {
+		_ = r.answer.stream.Close()
+	}
+}
+
 func refused(reason frame.Reason, detail string) result {
 	return result{outcome: frame.NotRun, reason: reason, detail: detail}
 }
@@ -204,6 +213,16 @@
 	}
 }
 
+// failure returns the result of an exchange without a response: not run where no
+// byte of the request was sent.
+func failure(ctx context.Context, err error) result {
+	var failed *h1.Error
+	if errors.As(err, &failed) && !failed.Sent() {
+		return refused(reasonOf(ctx, frame.ReasonDial), err.Error())
+	}
+	return lost(reasonOf(ctx, frame.ReasonLost), err.Error())
+}
+
 // reasonOf tells why ctx ended.
 func reasonOf(ctx context.Context, otherwise frame.Reason) frame.Reason {
 	switch {
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -90,7 +90,7 @@
 
 // reading reports whether this node is to read the store.
 func (f *feeder) reading() bool {
-	if f.o.sync.o.view.Config() == nil || f.o.sync.o.view.Rev() == 0 {
+	if f.o.sync.o.view.Rev() == 0 {
 		return true
 	}
 	rank := f.rank()
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -113,12 +112,8 @@
 		Method: c.method, Target: c.target, Host: c.host, Header: h,
 		Body: c.body, Stream: c.stream, Length: c.length,
 	})
-	var failed *h1.Error
-	if errors.As(err, &failed) && !failed.Sent() {
-		return refused(reasonOf(ctx, frame.ReasonDial), err.Error())
-	}
 	if err != nil {
-		return lost(reasonOf(ctx, frame.ReasonLost), err.Error())
+		return failure(ctx, err)
 	}
 	r, err := parseReply(resp.Header.Get(headerHop))
 	if err != nil {
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"dogwoodhead/peer"
 	"dogwoodhead/platform"
 )
 
@@ -21,10 +21,6 @@
 	gateTick = 100 * time.Millisecond
 	// sweepInterval is how often idle connections are looked through.
 	sweepInterval = time.Second
-	// headTimeout bounds the reading of a request's head where the configuration
-	// sets no bound, and keepIdle the time between two requests.
-	headTimeout = 10 * time.Second
-	keepIdle    = 2 * time.Minute
 	// seatLinger is how long a stopping node still takes work for its backend
 	// server, and callerLinger how long it takes that of callers: the platform
 	// asks every second whether it is ready and needs two misses.
@@ -46,13 +42,13 @@
 	defer stopWork()
 	var wg sync.WaitGroup
 	failed := make(chan error, 8)
-	call := newListener("call", net.JoinHostPort(n.set.IP(), strconv.Itoa(n.set.CallPort())), n.server)
-	outbound := newListener("outbound", n.set.Outbound(), n.entry)
-	ready := newListener("ready", n.set.Ready(), http.HandlerFunc(n.ready))
-	operators := newListener("operator", n.set.Operator(), http.HandlerFunc(n.serveMetrics))
-	all := []*listener{call, outbound, ready, operators}
+	call := peer.NewListener("call", net.JoinHostPort(n.set.IP(), strconv.Itoa(n.set.CallPort())), n.server)
+	outbound := peer.NewListener("outbound", n.set.Outbound(), n.entry)
+	ready := peer.NewListener("ready", n.set.Ready(), http.HandlerFunc(n.ready))
+	operators := peer.NewListener("operator", n.set.Operator(), http.HandlerFunc(n.serveMetrics))
+	all := []*peer.Listener{call, outbound, ready, operators}
 	for _, l := range all {
-		if err := l.listen(failed); err != nil {
+		if err := l.Listen(failed); err != nil {
 			return err
 		}
 	}
@@ -143,9 +139,9 @@
 
 // stop ends the node: no new work for the backend server, callers are served
 // while they still come, and every request that was read is answered.
-func (n *Node) stop(call, outbound *listener, all []*listener) {
+func (n *Node) stop(call, outbound *peer.Listener, all []*peer.Listener) {
 	started := n.clock.Now()
-	n.log.WithFields(logrus.Fields{"calls": call.open(), "requests": outbound.open()}).Info("stopping")
+	n.log.WithFields(logrus.Fields{"calls": call.Open(), "requests": outbound.Open()}).Info("stopping")
 	n.leaving.Store(true)
 	grace := time.Duration(n.grace.Load())
 	end := started.Add(grace - exitMargin)
@@ -153,13 +149,13 @@
 	n.clock.Sleep(min(seatLinger, most))
 	n.closed.Store(true)
 	n.clock.Sleep(min(callerLinger, most) - n.clock.Since(started))
-	outbound.refuse()
-	n.await(end, func() bool { return outbound.open() == 0 && call.open() == 0 })
+	outbound.Refuse()
+	n.await(end, func() bool { return outbound.Open() == 0 && call.Open() == 0 })
 	for _, l := range all {
-		_ = l.server.Close()
+		l.Close()
 	}
 	n.log.WithFields(logrus.Fields{
-		"took": n.clock.Since(started).Milliseconds(), "calls": call.open(), "requests": outbound.open(),
+		"took": n.clock.Since(started).Milliseconds(), "calls": call.Open(), "requests": outbound.Open(),
 	}).Info("stop")
 }
 
@@ -169,55 +165,3 @@
 		n.clock.Sleep(settlePoll)
 	}
 }
-
-// listener is one HTTP interface of the node.
-type listener struct {
-	name    string
-	address string
-	server  *http.Server
-	ln      net.Listener
-
-	mu sync.Mutex
-	// busy holds the connections that have a request or may send their first.
-	busy map[net.Conn]struct{}
-}
-
-func newListener(name, address string, h http.Handler) *listener {
-	l := &listener{name: name, address: address, busy: make(map[net.Conn]struct{})}
-	l.server = &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: keepIdle, ConnState: l.observe}
-	return l
-}
-
-func (l *listener) observe(c net.Conn, s http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s == http.StateNew || s == http.StateActive {
-		l.busy[c] = struct{}{}
-		return
-	}
-	delete(l.busy, c)
-}
-
-func (l *listener) listen(failed chan<- error) error {
-	ln, err := net.Listen("tcp", l.address)
-	if err != nil {
-		return eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
-	}
-	l.ln = ln
-	go func() {
-		err := l.server.Serve(ln)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			failed <- eris.Wrapf(err, "serve %s", l.name)
-		}
-	}()
-	return nil
-}
-
-// refuse takes no more connections.
-func (l *listener) refuse() { _ = l.ln.Close() }
-
-func (l *listener) open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.busy)
-}
--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -199,12 +199,8 @@
 		Method: c.method, Target: c.target, Host: c.host, Header: h,
 		Body: c.body, Stream: c.stream, Length: c.length,
 	})
-	var failed *h1.Error
-	if errors.As(err, &failed) && !failed.Sent() {
-		return refused(reasonOf(ctx, frame.ReasonDial), err.Error())
-	}
 	if err != nil {
-		return lost(reasonOf(ctx, frame.ReasonLost), err.Error())
+		return failure(ctx, err)
 	}
 	if resp.Header.Get(platform.HeaderNotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		_ = drain(resp.Body)
--- a/node/run.go
+++ b/node/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -45,16 +44,16 @@
 	return log, nil
 }
 
-func (n *Node) listeners() (call, outbound, entry, operators *listener) {
+func (n *Node) listeners() (call, outbound, entry, operators *peer.Listener) {
 	calls := http.NewServeMux()
 	calls.Handle("POST /call/{service}/{operation}", peer.Leased(n.memory, n.server.Handler()))
 	calls.Handle("POST /key/{service}/{operation}", peer.KeyHandler(n.ownKey))
 	outbounds := http.NewServeMux()
 	outbounds.Handle("POST /call/{service}/{operation}", peer.Leased(n.memory, n.outbound.Handler()))
-	call = newListener("call", n.set.Call(), calls)
-	outbound = newListener("outbound", n.set.Outbound(), outbounds)
-	entry = newListener("caller", n.set.Caller(), peer.Leased(n.memory, n.entry.Handler()))
-	operators = newListener("operator", n.set.Operator(), operator.Handler(operator.Options{
+	call = peer.NewListener("call", n.set.Call(), calls)
+	outbound = peer.NewListener("outbound", n.set.Outbound(), outbounds)
+	entry = peer.NewListener("caller", n.set.Caller(), peer.Leased(n.memory, n.entry.Handler()))
+	operators = peer.NewListener("operator", n.set.Operator(), operator.Handler(operator.Options{
 		Status: n.Status, Policy: n.policy, Explain: n.Explain,
 	}))
 	return call, outbound, entry, operators
@@ -63,7 +62,7 @@
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	call, outbound, entry, operators := n.listeners()
-	all := []*listener{call, outbound, entry, operators}
+	all := []*peer.Listener{call, outbound, entry, operators}
 	failed := make(chan error, len(all)+1)
 	// Control work goes on during the graceful stop: it ends after the calls.
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -94,21 +93,19 @@
 	return n.stop(call, outbound, entry, operators)
 }
 
-func (n *Node) listen(all []*listener, failed chan<- error) error {
+func (n *Node) listen(all []*peer.Listener, failed chan<- error) error {
 	for i, l := range all {
-		ln, err := net.Listen("tcp", l.address)
-		if err != nil {
+		if err := l.Listen(failed); err != nil {
 			n.closeAll(all[:i])
-			return eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
+			return err
 		}
-		l.serve(ln, failed)
 	}
 	return nil
 }
 
-func (n *Node) closeAll(all []*listener) {
+func (n *Node) closeAll(all []*peer.Listener) {
 	for _, l := range all {
-		_ = l.server.Close()
+		l.Close()
 	}
 }
 
@@ -130,7 +127,7 @@
 // stop ends the node without cutting a call: it refuses new work for its
 // backend server and says so, still acts as entry for the linger time, then
 // takes no more connections, waits for the calls in progress, and closes.
-func (n *Node) stop(call, outbound, entry, operators *listener) error {
+func (n *Node) stop(call, outbound, entry, operators *peer.Listener) error {
 	n.log.Info("stopping: no new work for the backend server")
 	started := n.clock.Now()
 	n.leave()
@@ -138,7 +135,7 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), n.clock, n.set.Drain())
 	defer cancel()
 	var failed error
-	if err := entry.stop(ctx, n.clock); err != nil {
+	if err := entry.Stop(ctx, n.clock); err != nil {
 		failed = eris.Wrap(err, "calls from callers did not end in time")
 	}
 	select {
@@ -146,9 +143,9 @@
 	case <-ctx.Done():
 		failed = eris.New("calls at the backend server did not end in time")
 	}
-	for _, l := range []*listener{call, outbound, operators} {
-		if err := l.stop(ctx, n.clock); err != nil && failed == nil {
-			failed = eris.Wrapf(err, "close %s", l.name)
+	for _, l := range []*peer.Listener{call, outbound, operators} {
+		if err := l.Stop(ctx, n.clock); err != nil && failed == nil {
+			failed = eris.Wrapf(err, "close %s", l.Name())
 		}
 	}
 	n.client.Close()
--- a/node/listener.go
+++ b/peer/listener.go
@@ -1,4 +1,4 @@
-package node
+package peer
 
 import (
 	"context"
@@ -22,8 +22,8 @@
 	settlePoll = 2 * time.Millisecond
 )
 
-// listener is one HTTP interface of the node.
-type listener struct {
+// Listener is one HTTP interface of a node.
+type Listener struct {
 	name    string
 	address string
 	server  *http.Server
@@ -36,14 +36,15 @@
 	busy map[net.Conn]struct{}
 }
 
-func newListener(name, address string, h http.Handler) *listener {
-	l := &listener{name: name, address: address, served: make(chan struct{}), busy: make(map[net.Conn]struct{})}
+// NewListener returns an interface that does not listen yet.
+func NewListener(name, address string, h http.Handler) *Listener {
+	l := &Listener{name: name, address: address, served: make(chan struct{}), busy: make(map[net.Conn]struct{})}
 	l.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive, ConnState: l.observe}
 	return l
 }
 
 // observe is told the state of each connection.
-func (l *listener) observe(c net.Conn, s http.ConnState) {
+func (l *Listener) observe(c net.Conn, s http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s == http.StateNew || s == http.StateActive {
@@ -53,7 +54,15 @@
 	delete(l.busy, c)
 }
 
-func (l *listener) serve(ln net.Listener, failed chan<- error) {
+// Name returns what the interface is for.
+func (l *Listener) Name() string { return l.name }
+
+// Listen begins to serve. A later failure is sent to failed.
+func (l *Listener) Listen(failed chan<- error) error {
+	ln, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
+	}
 	l.ln = ln
 	go func() {
 		defer close(l.served)
@@ -62,21 +71,30 @@
 			failed <- eris.Wrapf(err, "serve %s", l.name)
 		}
 	}()
+	return nil
 }
 
-// stop accepts no more connections, answers the requests on those that are
+// Refuse accepts no more connections; those that are open go on.
+func (l *Listener) Refuse() { _ = l.ln.Close() }
+
+// Close ends the interface and its connections at once.
+func (l *Listener) Close() { _ = l.server.Close() }
+
+// Stop accepts no more connections, answers the requests on those that are
 // open and closes them. http.Server.Shutdown alone drops a request whose
 // headers are read while it runs, so it begins once no connection has one.
-func (l *listener) stop(ctx context.Context, clock clockwork.Clock) error {
-	_ = l.ln.Close()
+func (l *Listener) Stop(ctx context.Context, clock clockwork.Clock) error {
+	l.Refuse()
 	<-l.served
-	for ctx.Err() == nil && l.open() > 0 {
+	for ctx.Err() == nil && l.Open() > 0 {
 		clock.Sleep(settlePoll)
 	}
 	return l.server.Shutdown(ctx)
 }
 
-func (l *listener) open() int {
+// Open returns the number of connections that have a request or may send their
+// first.
+func (l *Listener) Open() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.busy)
