settings: Give the metrics an address of their own, declared in the deploy file

TestAtMostOnce failed once (10-fail ran 0 times); 60 runs with log lines show the cause: the stand-in closes its connection with the second answer of the request before, the next request crosses the close, gets 502 and never runs. That is allowed: the outcome is open and nothing runs twice. The check now accepts no run only there and only with 502; 100 runs pass.

--- a/docs/reference/main.go
+++ b/docs/reference/main.go
@@ -11,7 +11,7 @@
 	"strings"
 )
 
-//go:generate go run . ../configuration.md ../../policy/base.schema.json ../../policy/overlay.schema.json ../../settings/settings.schema.json
+//go:generate go run . ../configuration.md ../../policy/base.schema.json ../../policy/overlay.schema.json ../../settings/settings.schema.json ../../settings/mesh.schema.json
 
 const head = `# Configuration
 
--- a/docs/reference/main_test.go
+++ b/docs/reference/main_test.go
@@ -12,6 +12,7 @@
 func TestPageIsCurrent(t *testing.T) {
 	want, err := page([]string{
 		"../../policy/base.schema.json", "../../policy/overlay.schema.json", "../../settings/settings.schema.json",
+		"../../settings/mesh.schema.json",
 	})
 	require.NoError(t, err)
 	got, err := os.ReadFile("../configuration.md")
--- a/mesh/fleet_test.go
+++ b/mesh/fleet_test.go
@@ -100,9 +100,9 @@
 	f.t.Cleanup(v.app.Stop)
 	v.app.Register(f.store, false)
 	src := fmt.Sprintf(`{"vm": "vm-%d", "ip": %q, "zone": %q, "region": "r", "zones": {"zone-a": "r", "zone-b": "r"},
-		"service": %q, "listen": {"outbound": %q, "ready": "%s:%d"}, "ports": [%d, %d], "backend": %q, "store": %q,
+		"service": %q, "listen": {"outbound": %q, "ready": "%s:%d", "operator": "%s:0"}, "ports": [%d, %d], "backend": %q, "store": %q,
 		"limits": {"memory": 200, "cores": 1}, "bounds": {"grace": 4, "ratio": 0.2, "slack": 40}}`,
-		len(f.vms)+1, v.ip, o.Zone, o.Service, o.Outbound, v.ip, readyPort, firstPort, firstPort+10, o.Address, f.addr)
+		len(f.vms)+1, v.ip, o.Zone, o.Service, o.Outbound, v.ip, readyPort, v.ip, firstPort, firstPort+10, o.Address, f.addr)
 	var err error
 	v.set, err = settings.ParseMesh("test.jsonc", []byte(src))
 	require.NoError(f.t, err)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -105,6 +105,12 @@
 			id := fmt.Sprintf("%d-%s", i, kind)
 			r := shop.send(request{path: "/book/x", id: id})
 			require.NoError(t, r.err, id)
+			if kind == standin.AppFail && runs(id) == 0 {
+				// The stand-in closes its connection with the second answer of the request
+				// before. A request that crosses the close never runs, and is not sent again.
+				require.Equal(t, http.StatusBadGateway, r.status, id)
+				continue
+			}
 			require.Equal(t, 1, runs(id), id)
 			switch kind {
 			case standin.AppLose, standin.AppCut:
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -45,7 +45,7 @@
 	call := peer.NewListener("call", net.JoinHostPort(n.set.IP(), strconv.Itoa(n.set.CallPort())), n.server)
 	outbound := peer.NewListener("outbound", n.set.Outbound(), n.entry)
 	ready := peer.NewListener("ready", n.set.Ready(), http.HandlerFunc(n.ready))
-	operators := peer.NewListener("operator", n.set.Operator(), http.HandlerFunc(n.serveMetrics))
+	operators := peer.NewListener("operator", n.set.Operator(), n.operators())
 	all := []*peer.Listener{call, outbound, ready, operators}
 	for _, l := range all {
 		if err := l.Listen(failed); err != nil {
@@ -133,8 +133,11 @@
 	}
 }
 
-func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	metrics.WritePrometheus(w, true)
+// operators returns the handler of the operators' address.
+func (n *Node) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return mux
 }
 
 // stop ends the node: no new work for the backend server, callers are served
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -4,7 +4,6 @@
 	_ "embed"
 	"maps"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"dogwoodhead/jsonc"
@@ -31,6 +30,7 @@
 	Listen  struct {
 		Outbound string `json:"outbound"`
 		Ready    string `json:"ready"`
+		Operator string `json:"operator"`
 	} `json:"listen"`
 	Ports   []int  `json:"ports"`
 	Backend string `json:"backend"`
@@ -48,7 +48,7 @@
 }
 
 // meshPorts is how many ports a node uses between the first and the last.
-const meshPorts = 3
+const meshPorts = 2
 
 // ParseMesh checks a settings file. file only appears in messages. The error
 // joins a *CheckError for each fault that was found.
@@ -101,8 +101,8 @@
 // ControlPort returns the port at which every node serves JSON-RPC.
 func (m *Mesh) ControlPort() int { return m.fields.Ports[0] + 1 }
 
-// Operator returns the ip:port of metrics and status.
-func (m *Mesh) Operator() string { return m.fields.IP + ":" + strconv.Itoa(m.fields.Ports[0]+2) }
+// Operator returns the ip:port of the metrics.
+func (m *Mesh) Operator() string { return m.fields.Listen.Operator }
 
 // Backend returns the ip:port of the own backend server.
 func (m *Mesh) Backend() string { return m.fields.Backend }
--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -207,9 +207,9 @@
 	}
 	vm.settings = filepath.Join(s.o.Dir, fmt.Sprintf("vm-%d.jsonc", vm.index))
 	text := fmt.Sprintf(`{"vm": "vm-%d", "ip": %q, "zone": %q, "region": "r", "zones": {"zone-0": "r", "zone-1": "r", "zone-2": "r"},
-"service": %q, "listen": {"outbound": %q, "ready": %q}, "ports": [%d, %d], "backend": %q, "store": %q,
+"service": %q, "listen": {"outbound": %q, "ready": %q, "operator": %q}, "ports": [%d, %d], "backend": %q, "store": %q,
 "limits": {"memory": 184, "cores": 1}, "bounds": {"grace": %g, "ratio": %g, "slack": %d}}`,
-		vm.index, vm.hidden, vm.zone(), vm.service, join(vm.ip, meshOutboundPort), join(vm.ip, meshReadyPort),
+		vm.index, vm.hidden, vm.zone(), vm.service, join(vm.ip, meshOutboundPort), join(vm.ip, meshReadyPort), join(vm.hidden, 9464),
 		meshFirstPort, meshFirstPort+10, join(vm.ip, meshAppPort), join(vm.hidden, 8500),
 		meshGrace.Seconds(), meshRatio, meshSlack)
 	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
