--- a/mesh/node.go
+++ b/mesh/node.go
@@ -100,7 +100,11 @@
 	n.board = board.New(board.NewSelf(board.NewVM(board.VMFields{
 		Name: s.VM(), Zone: s.Zone(), Region: s.Region(), Service: s.Service(),
 	}), s.Region(), self))
-	n.gate = admit.NewGate(admit.Options{Clock: clock, Limits: admit.Limits{Slots: 1, Connections: 1, Enabled: true}})
+	n.gate = admit.NewGate(admit.Options{
+		Clock: clock, Limits: admit.Limits{Slots: 1, Connections: 1, Enabled: true},
+		// The list says how many slots the backend server has.
+		Algorithm: admit.AlgorithmFixed,
+	})
 	n.chooser = route.NewChooser(n.board, route.Options{Clock: clock, Rand: newRand(), Spill: spill})
 	n.view = catalog.NewView(catalog.ViewOptions{Clock: clock, Changed: n.changed, Configured: n.configured})
 	n.wireClients(dial)
