--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL    := $(GO) tool -modfile=tools/go.mod
 PKGS    := ./...
 
-.PHONY: build test lint format demo measure slopes generate soak
+.PHONY: build test lint format demo measure slopes generate soak soak-mesh
 
 build:
 	mkdir -p bin
@@ -40,3 +40,7 @@
 soak: build
 	./bin/trial soak
 	./bin/trial soak --base deploy/collective/base.jsonc --overlay deploy/collective/ogun-west.jsonc
+
+# A short run for CI; by hand: ./bin/trial mesh --seed N --seeds 50
+soak-mesh: build
+	./bin/trial mesh --seed 1 --vms 6 --length 5s
