--- a/mesh/call.go
+++ b/mesh/call.go
@@ -119,6 +119,14 @@
 	return n, err
 }
 
+// request returns the request as it is sent with the given headers.
+func (c *call) request(h http.Header) *h1.Request {
+	return &h1.Request{
+		Method: c.method, Target: c.target, Host: c.host, Header: h,
+		Body: c.body, Stream: c.stream, Length: c.length,
+	}
+}
+
 // left returns the time left until the deadline.
 func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
 
--- a/mesh/offer.go
+++ b/mesh/offer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"dogwoodhead/board"
 	"dogwoodhead/frame"
@@ -19,7 +20,7 @@
 		if err != nil {
 			break
 		}
-		if contains(tried, vm.Name()) && sofar.reason != frame.ReasonDown {
+		if slices.Contains(tried, vm.Name()) && sofar.reason != frame.ReasonDown {
 			e.o.chooser.Report(vm.Name(), route.Report{Err: frame.Refuse(frame.ReasonCancelled, "not asked again")})
 			break
 		}
@@ -71,15 +72,6 @@
 	e.leaves.Put(route, leaf)
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // merge returns what is known after another attempt. Once an attempt may have
 // run, a later refusal does not make the request one that did not run.
 func merge(before, now result, ran bool) result {
--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -195,10 +195,7 @@
 	stampDeadline(h, c.left(s.o.clock.Now()))
 	h.Set(platform.HeaderInstance, instance)
 	h.Set(platform.HeaderCaller, c.origin)
-	resp, err := s.o.http.Do(ctx, s.o.address, &h1.Request{
-		Method: c.method, Target: c.target, Host: c.host, Header: h,
-		Body: c.body, Stream: c.stream, Length: c.length,
-	})
+	resp, err := s.o.http.Do(ctx, s.o.address, c.request(h))
 	if err != nil {
 		return failure(ctx, err)
 	}
