mesh: Apply the configuration's head and idle times; answer a late head with 408

Cause: callers' connections had fixed bounds of 5 s and 2 min whatever the configuration said, net/http closed a late head without an answer, and a body that never came held its request beyond the deadline. `again` matched the route a second time for its attempts, so a configuration that changed in between counted as before. A node that stopped logged "store lost".

Ruled out: ReadHeaderTimeout and IdleTimeout of http.Server, which are fixed before it serves and close without an answer.

Change: peer.boundedConn applies bounds that are asked for at each read and answers 408 to a head that began and is late; entry.readBody ends at the request's deadline with 408; the attempts are kept from the match; a call that ends with the process is no loss of the store. TestFollow expected that loss; it now has a real one and a return in its place.

Before: TestSlowCaller and TestIdleCaller fail without the bounds (no 408, the idle connection stays). After: both pass, with the race detector.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -96,6 +96,10 @@
 			failures = 0
 			continue
 		}
+		if ctx.Err() != nil {
+			// The call ended because the process does.
+			return
+		}
 		f.lost(err)
 		f.pause(ctx, failures)
 		failures++
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -43,6 +43,9 @@
 	// origin is the service of the VM on which the request began.
 	origin     string
 	idempotent bool
+	// attempts is the most backend servers that may run the request; set at the
+	// node where it begins.
+	attempts int
 	// class orders requests at the backend server, 0 is the most important.
 	class int
 	// repeat says that the request is part of work that is done once more.
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -15,6 +16,7 @@
 	"dogwoodhead/catalog"
 	"dogwoodhead/frame"
 	"dogwoodhead/operator"
+	"dogwoodhead/peer"
 	"dogwoodhead/platform"
 	"dogwoodhead/route"
 )
@@ -74,7 +76,7 @@
 
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t := &trip{started: e.o.clock.Now()}
-	c, status := e.parse(r, t)
+	c, status := e.parse(w, r, t)
 	if status != 0 {
 		if status == http.StatusRequestEntityTooLarge {
 			// A connection that closes with unread bytes is reset, which can take the
@@ -96,8 +98,24 @@
 	e.write(w, c, res)
 }
 
+// bounds returns what the configuration allows callers' connections.
+func (e *entry) bounds() peer.Bounds {
+	b := peer.Bounds{Head: peer.HeadTimeout, Idle: peer.IdleTimeout}
+	cfg := e.o.view.Config()
+	if cfg == nil {
+		return b
+	}
+	if d := cfg.Limits().Reading; d > 0 {
+		b.Head = d
+	}
+	if d := cfg.Limits().Idle; d > 0 {
+		b.Idle = d
+	}
+	return b
+}
+
 // parse reads a request. Where it can't be served, it returns the status.
-func (e *entry) parse(r *http.Request, t *trip) (*call, int) {
+func (e *entry) parse(w http.ResponseWriter, r *http.Request, t *trip) (*call, int) {
 	c := &call{
 		id: r.Header.Get(platform.HeaderRequest), method: r.Method, target: originForm(r.RequestURI),
 		host: r.Host, origin: e.o.service,
@@ -117,20 +135,37 @@
 		return c, http.StatusRequestHeaderFieldsTooLarge
 	}
 	e.assign(c, to, r, t)
-	if err := c.readBody(r, cfg.Limits().Body); err != nil {
-		if errors.Is(err, errTooLarge) {
-			return c, http.StatusRequestEntityTooLarge
-		}
-		return c, http.StatusBadRequest
+	if r.ContentLength != 0 {
+		return c, e.readBody(w, c, r, cfg.Limits().Body)
 	}
 	return c, 0
 }
 
+// readBody reads the body within the time that the request has. It returns the
+// status of a request whose body can't be taken, which has not run.
+func (e *entry) readBody(w http.ResponseWriter, c *call, r *http.Request, limit int64) int {
+	conn := http.NewResponseController(w)
+	// Deadlines can't be set on a connection that is closed, which the read reports.
+	_ = conn.SetReadDeadline(c.deadline)
+	err := c.readBody(r, limit)
+	switch {
+	case err == nil:
+		_ = conn.SetReadDeadline(time.Time{})
+		return 0
+	case errors.Is(err, errTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
 // assign fills in what the route says of the request.
 func (e *entry) assign(c *call, to *catalog.Route, r *http.Request, t *trip) {
 	c.header = forwarded(r.Header)
 	c.header.Del(platform.HeaderInstance)
 	c.route, c.idempotent, c.objective = to.Name, to.Idempotent, to.Objective
+	c.attempts = to.Attempts
 	c.service = e.o.splitter.pick(to)
 	c.class = classOf(to)
 	if parent := e.o.seat.parent(c.id); parent != nil {
--- a/mesh/offer.go
+++ b/mesh/offer.go
@@ -101,13 +101,7 @@
 	if !c.idempotent || c.repeat || !failed(r) {
 		return false
 	}
-	attempts := 1
-	if cfg := e.o.view.Config(); cfg != nil {
-		if to := cfg.Match(c.host, pathOf(c.target)); to != nil {
-			attempts = to.Attempts
-		}
-	}
-	if t.runs >= attempts || !e.permit(c, t) {
+	if t.runs >= c.attempts || !e.permit(c, t) {
 		return false
 	}
 	c.repeat = true
--- a/mesh/respond.go
+++ b/mesh/respond.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -65,12 +66,24 @@
 		"request": c.id, "host": c.host, "target": c.target, "status": status,
 		"config": e.o.view.Version(), "took": e.o.clock.Since(t.started).Milliseconds(),
 	}).Warn("reject")
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusRequestTimeout:
+		// The rest of the body is still to come on this connection.
+		w.Header().Set("Connection", "close")
+	case http.StatusServiceUnavailable:
 		w.Header().Set("Retry-After", e.retryAfter(c))
 	}
 	e.finish(w, c, status)
 }
 
+// late logs a request whose head was not complete in time and was answered 408.
+func (e *entry) late(remote net.Addr, waited time.Duration) {
+	e.o.log.WithFields(logrus.Fields{
+		"remote": remote.String(), "status": http.StatusRequestTimeout,
+		"config": e.o.view.Version(), "took": waited.Milliseconds(),
+	}).Warn("reject")
+}
+
 func (e *entry) finish(w http.ResponseWriter, c *call, status int) {
 	h := w.Header()
 	h["Date"] = nil
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -12,15 +12,8 @@
 	"github.com/rotisserie/eris"
 )
 
-const (
-	// headerTimeout bounds the reading of a request's headers, and so how long
-	// a connection without a request can hold up a stop.
-	headerTimeout = 5 * time.Second
-	// keepAlive is how long a connection without requests is kept.
-	keepAlive = 2 * time.Minute
-	// settlePoll is how often a stop looks for connections with a request.
-	settlePoll = 2 * time.Millisecond
-)
+// settlePoll is how often a stop looks for connections with a request.
+const settlePoll = 2 * time.Millisecond
 
 // Listener is one HTTP interface of a node.
 type Listener struct {
@@ -30,6 +23,9 @@
 	ln      net.Listener
 	// served is closed once no more connections are accepted.
 	served chan struct{}
+	// bounds and late are those of a boundedConn.
+	bounds func() Bounds
+	late   func(remote net.Addr, waited time.Duration)
 
 	mu sync.Mutex
 	// busy holds the connections that have a request or may send their first.
@@ -38,13 +34,31 @@
 
 // NewListener returns an interface that does not listen yet.
 func NewListener(name, address string, h http.Handler) *Listener {
-	l := &Listener{name: name, address: address, served: make(chan struct{}), busy: make(map[net.Conn]struct{})}
-	l.server = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive, ConnState: l.observe}
+	l := &Listener{
+		name: name, address: address, served: make(chan struct{}), busy: make(map[net.Conn]struct{}),
+		bounds: func() Bounds { return Bounds{Head: HeadTimeout, Idle: IdleTimeout} },
+		late:   func(net.Addr, time.Duration) {},
+	}
+	l.server = &http.Server{Handler: h, ConnState: l.observe}
 	return l
 }
 
+// Bound replaces the bounds, which may change at any time. late is told of each
+// request whose head is late and must not block. Bound is called before Listen.
+func (l *Listener) Bound(bounds func() Bounds, late func(remote net.Addr, waited time.Duration)) {
+	l.bounds, l.late = bounds, late
+}
+
 // observe is told the state of each connection.
 func (l *Listener) observe(c net.Conn, s http.ConnState) {
+	if b, ok := c.(*boundedConn); ok {
+		switch s {
+		case http.StateActive:
+			b.work()
+		case http.StateIdle:
+			b.wait()
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s == http.StateNew || s == http.StateActive {
@@ -66,7 +80,7 @@
 	l.ln = ln
 	go func() {
 		defer close(l.served)
-		err := l.server.Serve(ln)
+		err := l.server.Serve(boundedListener{Listener: ln, bounds: l.bounds, late: l.late})
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failed <- eris.Wrapf(err, "serve %s", l.name)
 		}
