mesh: Bound the memory that the bodies of all requests hold together

Cause: each request and response may keep 64 KiB, and a gate may queue 16 requests a slot: 1,856 at a server of 116 slots, 116 MiB of bodies where a process has 184 MB.

Ruled out: refusing such requests, which could be served.

Change: bodies are kept within an eighth of the process's memory; beyond it they are passed on while they arrive, as long ones are, and can't be repeated.

Before: TestBodyMemory without the release fails, "Condition never satisfied"; without the bound a body is kept. After: it passes, with the race detector.

--- a/mesh/call.go
+++ b/mesh/call.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
 
 	"dogwoodhead/admit"
 	"dogwoodhead/catalog"
@@ -24,6 +26,10 @@
 	// on. A request with a larger one can't be sent again, and a response with a
 	// larger one is passed on while it arrives.
 	keptBody = 64 << 10
+	// keptPart is the part of the process's memory, as a divisor, that the bodies
+	// of all requests and responses may take. Beyond it they are passed on while
+	// they arrive, whatever their size.
+	keptPart = 8
 )
 
 // call is one request on its way through a node.
@@ -37,6 +43,8 @@
 	body   []byte
 	stream io.Reader
 	length int64
+	// held is what the body takes of the node's memory for bodies.
+	held held
 	// service is where the request runs.
 	service string
 	route   string
@@ -81,32 +89,70 @@
 var errTooLarge = errors.New("body is too large")
 
 // readBody reads a body that is small enough to keep, or leaves it as a stream.
-func (c *call) readBody(r *http.Request, limit int64) error {
-	switch {
-	case r.ContentLength == 0:
+func (c *call) readBody(r *http.Request, limit int64, memory *semaphore.Weighted) error {
+	if r.ContentLength == 0 {
 		return nil
-	case limit > 0 && r.ContentLength > limit:
+	}
+	if limit > 0 && r.ContentLength > limit {
 		return errTooLarge
-	case r.ContentLength > keptBody:
-		c.stream, c.length = r.Body, r.ContentLength
+	}
+	in := io.Reader(r.Body)
+	if limit > 0 {
+		in = &limited{in: r.Body, left: limit}
+	}
+	if !c.held.take(memory, r.ContentLength) {
+		c.stream, c.length = in, r.ContentLength
 		return nil
 	}
-	kept, err := io.ReadAll(io.LimitReader(r.Body, keptBody+1))
+	kept, err := io.ReadAll(io.LimitReader(in, keptBody+1))
 	if err != nil {
 		return err
 	}
 	if len(kept) <= keptBody {
 		c.body = kept
+		c.held.shrink(len(kept))
 		return nil
 	}
-	rest := io.Reader(r.Body)
-	if limit > 0 {
-		rest = &limited{in: r.Body, left: limit - int64(len(kept))}
-	}
-	c.stream, c.length = io.MultiReader(strings.NewReader(string(kept)), rest), -1
+	c.stream, c.length = io.MultiReader(bytes.NewReader(kept), in), r.ContentLength
 	return nil
 }
 
+// held is what one body takes of a node's memory for bodies.
+type held struct {
+	memory *semaphore.Weighted
+	// bytes is 0 where nothing is held.
+	bytes int64
+}
+
+// take holds memory for a body of a length in bytes, negative where it is not
+// known. It reports whether the body may be kept.
+func (h *held) take(memory *semaphore.Weighted, length int64) bool {
+	if length < 0 {
+		length = keptBody
+	}
+	if length > keptBody || !memory.TryAcquire(length) {
+		return false
+	}
+	h.memory, h.bytes = memory, length
+	return true
+}
+
+// shrink gives back what the body turned out not to need.
+func (h *held) shrink(length int) {
+	if rest := h.bytes - int64(length); rest > 0 {
+		h.memory.Release(rest)
+		h.bytes -= rest
+	}
+}
+
+// release gives back what is held; only the first call has an effect.
+func (h *held) release() {
+	if h.bytes > 0 {
+		h.memory.Release(h.bytes)
+		h.bytes = 0
+	}
+}
+
 // limited fails once more than left bytes were read.
 type limited struct {
 	in   io.Reader
@@ -182,6 +228,8 @@
 	// be closed. length is its length in bytes, negative where it is not known.
 	stream io.ReadCloser
 	length int64
+	// held is what the body takes of the node's memory for bodies.
+	held held
 }
 
 // result is what became of one attempt.
@@ -199,9 +247,19 @@
 // discard ends an answer that nobody gets. It frees the slot of one whose body
 // is still on its way.
 func (r result) discard() {
-	if r.answer != nil && r.answer.stream != nil {
-		_ = r.answer.stream.Close()
+	if r.answer != nil {
+		r.answer.close()
+	}
+}
+
+// close ends an answer: nobody needs its body any more. Only the first call has
+// an effect.
+func (a *answer) close() {
+	if a.stream != nil {
+		// The body is not used; how its connection ends does not matter.
+		_ = a.stream.Close()
 	}
+	a.held.release()
 }
 
 func refused(reason frame.Reason, detail string) result {
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"dogwoodhead/board"
 	"dogwoodhead/catalog"
@@ -42,6 +43,8 @@
 	seat     *seat
 	client   *client
 	metrics  *operator.Metrics
+	// memory is for the bodies of all requests and responses, in bytes.
+	memory *semaphore.Weighted
 	// service is that of the backend server on this VM.
 	service string
 	random  func() float64
@@ -77,6 +80,7 @@
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t := &trip{started: e.o.clock.Now()}
 	c, status := e.parse(w, r, t)
+	defer c.held.release()
 	if status != 0 {
 		if status == http.StatusRequestEntityTooLarge {
 			// A connection that closes with unread bytes is reset, which can take the
@@ -147,7 +151,7 @@
 	conn := http.NewResponseController(w)
 	// Deadlines can't be set on a connection that is closed, which the read reports.
 	_ = conn.SetReadDeadline(c.deadline)
-	err := c.readBody(r, limit)
+	err := c.readBody(r, limit, e.o.memory)
 	switch {
 	case err == nil:
 		_ = conn.SetReadDeadline(time.Time{})
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -63,6 +63,42 @@
 	require.Zero(t, book.app.Runs("two"))
 }
 
+// TestBodyMemory guards against bodies of many requests that exceed the memory
+// of the process together, and against memory that is not given back.
+func TestBodyMemory(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	book := f.add(standin.AppOptions{ID: "i-book", Service: "book", Slots: 10})
+	f.config(1, routeTo("book", "/book/", "unsafe"))
+	budget := int64(200<<20) / keptPart
+	body := strings.Repeat("x", keptBody)
+	send := func(id string) {
+		r := shop.send(request{method: http.MethodPost, path: "/book/x", id: id, body: body})
+		require.NoError(t, r.err)
+		require.Equal(t, http.StatusOK, r.status)
+		require.Equal(t, standin.AppBody("i-book", id), r.body)
+		_, _, got := book.app.Arrived(id)
+		require.Equal(t, body, got)
+	}
+	free := func(v *testVM) bool {
+		if !v.node.memory.TryAcquire(budget) {
+			return false
+		}
+		v.node.memory.Release(budget)
+		return true
+	}
+	for i := range 10 {
+		send(fmt.Sprint("kept", i))
+	}
+	for _, v := range f.vms {
+		require.Eventually(t, func() bool { return free(v) }, waitLimit, time.Millisecond)
+		require.True(t, v.node.memory.TryAcquire(budget))
+	}
+	send("streamed")
+	var h held
+	require.False(t, h.take(shop.node.memory, 1), "nothing is kept without memory")
+}
+
 // TestOwnAnswers guards against requests that are refused with a status that
 // says something else, or that run although they are refused.
 func TestOwnAnswers(t *testing.T) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"dogwoodhead/admit"
@@ -68,6 +69,8 @@
 	feeder     *feeder
 	metrics    *operator.Metrics
 	controlSet *metrics.Set
+	// memory is for the bodies of all requests and responses, in bytes.
+	memory *semaphore.Weighted
 	// peers, backend and store are the connections to other nodes, to the backend
 	// server and to the platform's store.
 	peers, backend, store *h1.Client
@@ -92,7 +95,7 @@
 func newNode(s *settings.Mesh, version string, log *logrus.Logger, clock clockwork.Clock, dial dialFunc) *Node {
 	n := &Node{
 		set: s, version: version, log: log, clock: clock,
-		metrics: operator.NewMetrics(), controlSet: metrics.NewSet(),
+		metrics: operator.NewMetrics(), controlSet: metrics.NewSet(), memory: semaphore.NewWeighted(s.Memory() / keptPart),
 		budgets: newBudgets(s.Ratio(), s.Slack(), clock), splitter: newSplitter(rand.Float64),
 	}
 	n.grace.Store(int64(s.Grace()))
@@ -147,13 +150,14 @@
 
 func (n *Node) wireCalls() {
 	n.seat = newSeat(seatOptions{
-		clock: n.clock, log: n.log, gate: n.gate, http: n.backend, metrics: n.metrics,
+		clock: n.clock, log: n.log, gate: n.gate, http: n.backend, metrics: n.metrics, memory: n.memory,
 		address: n.set.Backend(), leaving: n.closed.Load,
 	})
-	n.server = &server{clock: n.clock, seat: n.seat, service: n.set.Service()}
+	n.server = &server{clock: n.clock, seat: n.seat, memory: n.memory, service: n.set.Service()}
 	n.entry = newEntry(entryOptions{
 		clock: n.clock, log: n.log, view: n.view, board: n.board, chooser: n.chooser, budgets: n.budgets,
-		splitter: n.splitter, seat: n.seat, client: &client{clock: n.clock, http: n.peers}, metrics: n.metrics,
+		splitter: n.splitter, seat: n.seat, client: &client{clock: n.clock, http: n.peers, memory: n.memory}, metrics: n.metrics,
+		memory:  n.memory,
 		service: n.set.Service(), random: rand.Float64, leaving: n.leaving.Load,
 	})
 }
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/semaphore"
 
 	"dogwoodhead/board"
 	"dogwoodhead/frame"
@@ -18,12 +19,15 @@
 type server struct {
 	clock clockwork.Clock
 	seat  *seat
+	// memory is for the bodies of all requests and responses, in bytes.
+	memory *semaphore.Weighted
 	// service is that of the backend server.
 	service string
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, instance, err := s.parse(r)
+	defer c.held.release()
 	if err != nil {
 		s.write(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.seat.feedback(c)})
 		return
@@ -43,7 +47,7 @@
 	}
 	c.header.Set(platform.HeaderRequest, c.id)
 	c.deadline = s.clock.Now().Add(left)
-	return c, instance, c.readBody(r, 0)
+	return c, instance, c.readBody(r, 0, s.memory)
 }
 
 // write sends a result to the node that asked.
@@ -88,11 +92,12 @@
 		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	w.WriteHeader(a.status)
+	defer a.close()
 	if a.stream == nil {
+		// A failed write means that nobody reads the answer any more.
 		_, _ = w.Write(a.body)
 		return
 	}
-	defer a.stream.Close()
 	if _, err := io.Copy(w, a.stream); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -102,6 +107,8 @@
 type client struct {
 	clock clockwork.Clock
 	http  *h1.Client
+	// memory is for the bodies of all requests and responses, in bytes.
+	memory *semaphore.Weighted
 }
 
 // run sends a request to a node and returns what became of it.
@@ -122,7 +129,7 @@
 		r.detail = "said by the node beside the backend server"
 		return r
 	}
-	answered := receive(resp)
+	answered := receive(resp, p.memory)
 	answered.feedback = r.feedback
 	if answered.answer != nil {
 		answered.answer.header.Set(platform.HeaderRequest, c.id)
--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"dogwoodhead/admit"
 	"dogwoodhead/catalog"
@@ -28,6 +30,8 @@
 	gate    *admit.Gate
 	http    *h1.Client
 	metrics *operator.Metrics
+	// memory is for the bodies of all requests and responses, in bytes.
+	memory *semaphore.Weighted
 	// address is the backend server's ip:port.
 	address string
 	// leaving reports whether the node takes no new work for its backend server.
@@ -203,7 +207,7 @@
 		_ = drain(resp.Body)
 		return refused(frame.ReasonDown, "the backend server answered "+http.StatusText(resp.Status)+" without running the request")
 	}
-	return receive(resp)
+	return receive(resp, s.o.memory)
 }
 
 func (s *seat) enter(c *call) {
@@ -230,22 +234,24 @@
 }
 
 // receive reads the body of a response, whole where it is small.
-func receive(resp *h1.Response) result {
+func receive(resp *h1.Response, memory *semaphore.Weighted) result {
 	a := &answer{status: resp.Status, header: resp.Header, length: resp.Length}
-	if resp.Length > keptBody {
+	if !a.held.take(memory, resp.Length) {
 		a.stream = resp.Body
 		return result{outcome: frame.Answered, answer: a}
 	}
 	kept, err := io.ReadAll(io.LimitReader(resp.Body, keptBody+1))
 	if err != nil {
 		_ = resp.Body.Close()
+		a.held.release()
 		return lost(frame.ReasonPartial, err.Error())
 	}
 	if len(kept) > keptBody {
-		a.stream = &prefixed{Reader: io.MultiReader(strings.NewReader(string(kept)), resp.Body), Closer: resp.Body}
+		a.stream = &prefixed{Reader: io.MultiReader(bytes.NewReader(kept), resp.Body), Closer: resp.Body}
 		return result{outcome: frame.Answered, answer: a}
 	}
 	_ = resp.Body.Close()
+	a.held.shrink(len(kept))
 	a.body, a.length = kept, int64(len(kept))
 	return result{outcome: frame.Answered, answer: a}
 }
