--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -23,9 +23,6 @@
 	meshHost = "app.example"
 	// Ports are the same on every VM, which has a loopback address of its own.
 	meshAppPort, meshOutboundPort, meshReadyPort, meshFirstPort = 18401, 18404, 18402, 17720
-	// hiddenVM is added to the last byte of a VM's address for the node itself;
-	// the proxy listens where other nodes look for it.
-	hiddenVM = 100
 	// meshGrace is the time from SIGTERM to SIGKILL.
 	meshGrace = 6 * time.Second
 	// meshRatio and meshSlack bound the repeats of a service in meshWindow.
@@ -37,9 +34,13 @@
 	// were killed.
 	meshRecovery = 15 * time.Second
 	// meshCallers is the number of callers on each VM, and meshPace the mean pause
-	// between two requests of one.
+	// between two requests of one where there are meshUsual VMs. Larger runs have
+	// the same load in all: the machine is to be busy with nodes, not with requests.
 	meshCallers = 3
 	meshPace    = 60 * time.Millisecond
+	meshUsual   = 9
+	// meshMost is the largest number of VMs: the last byte of an address.
+	meshMost = 240
 	// meshDeadline is how long a caller waits.
 	meshDeadline = 4 * time.Second
 )
@@ -51,7 +52,7 @@
 	// Dir takes settings and logs.
 	Dir  string
 	Seed uint64
-	// VMs is the number of nodes, 3 to 90.
+	// VMs is the number of nodes, 3 to 240.
 	VMs int
 	// Length is how long faults are injected.
 	Length time.Duration
@@ -62,10 +63,12 @@
 type meshSoak struct {
 	o      MeshOptions
 	random *rand.Rand
-	net    string
-	store  *standin.Store
-	vms    []*meshVM
-	start  time.Time
+	// net is what VMs' addresses begin with, hidden those of the nodes themselves:
+	// the proxies listen where other nodes look for them.
+	net, hidden string
+	store       *standin.Store
+	vms         []*meshVM
+	start       time.Time
 
 	mu       sync.Mutex
 	records  []record
@@ -159,7 +162,11 @@
 // launch starts store, backend servers, links and nodes, and waits until the
 // nodes are ready.
 func (s *meshSoak) launch() error {
-	s.net = fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))
+	if s.o.VMs < len(meshServices) || s.o.VMs > meshMost {
+		return eris.Errorf("%d nodes are not within %d and %d", s.o.VMs, len(meshServices), meshMost)
+	}
+	block, third := 1+rand.IntN(250), 2*rand.IntN(120)
+	s.net, s.hidden = fmt.Sprintf("127.%d.%d", block, third), fmt.Sprintf("127.%d.%d", block, third+1)
 	storeAddr := s.net + ".250:8500"
 	ln, err := net.Listen("tcp", storeAddr)
 	if err != nil {
@@ -169,7 +176,7 @@
 	s.putConfig()
 	for i := range s.o.VMs {
 		vm := &meshVM{
-			index: i, ip: fmt.Sprintf("%s.%d", s.net, i+1), hidden: fmt.Sprintf("%s.%d", s.net, i+1+hiddenVM),
+			index: i, ip: fmt.Sprintf("%s.%d", s.net, i+1), hidden: fmt.Sprintf("%s.%d", s.hidden, i+1),
 			service: meshServices[i%len(meshServices)],
 		}
 		s.vms = append(s.vms, vm)
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// storeLinks sets the links of all VMs to the store.
+func storeLinks(m linkMode) func(*meshSoak, *meshVM) func() {
+	return func(s *meshSoak, _ *meshVM) func() {
+		set := func(m linkMode) {
+			for _, vm := range s.vms {
+				vm.storeLink.set(m)
+			}
+		}
+		set(m)
+		return func() { set(linkOpen) }
+	}
+}
+
 func appFault(f standin.AppFault) func(*meshSoak, *meshVM) func() {
 	return func(_ *meshSoak, vm *meshVM) func() {
 		vm.fault.Store("", f)
@@ -54,6 +67,8 @@
 }
 
 var meshFaults = []meshFault{
+	{name: "herd", begin: (*meshSoak).herd, length: 300 * time.Millisecond},
+	{name: "crash", begin: (*meshSoak).crash},
 	{name: "kill", begin: func(s *meshSoak, vm *meshVM) func() {
 		vm.process.Kill()
 		return func() { s.restart(vm) }
@@ -70,6 +85,7 @@
 	}},
 	{name: "slow", begin: linkFault(linkSlow)},
 	{name: "oneway", begin: linkFault(linkOneWay)},
+	{name: "answers", begin: linkFault(linkAnswers)},
 	{name: "silent", begin: linkFault(linkSilent)},
 	{name: "reset", begin: func(_ *meshSoak, vm *meshVM) func() {
 		vm.call.reset()
@@ -82,6 +98,9 @@
 	}},
 	{name: "store-busy", begin: storeFault(standin.StoreBusy)},
 	{name: "store-silent", begin: storeFault(standin.StoreSilent)},
+	{name: "store-slow", begin: storeLinks(linkSlow)},
+	{name: "store-lost", begin: storeLinks(linkAnswers)},
+	{name: "store-refuse", begin: (*meshSoak).refuse},
 	{name: "store-compact", begin: func(s *meshSoak, _ *meshVM) func() {
 		s.store.Compact()
 		return nil
@@ -194,15 +213,70 @@
 	}
 	vm.drainedSince = time.Now()
 	old.Register(s.store, true)
+	return func() { s.replace(vm, old) }
+}
+
+// herdPart is the part of the VMs, as a divisor, that a herd kill and a store
+// that turns VMs away concern.
+const herdPart = 3
+
+// part returns a part of the VMs, beginning at one.
+func (s *meshSoak) part(first *meshVM) []*meshVM {
+	var vms []*meshVM
+	for i := range max(len(s.vms)/herdPart, 1) {
+		vms = append(vms, s.vms[(first.index+i)%len(s.vms)])
+	}
+	return vms
+}
+
+// herd kills the nodes of a part of the VMs at the same time.
+func (s *meshSoak) herd(first *meshVM) func() {
+	vms := s.part(first)
+	for _, vm := range vms {
+		if vm.process.Running() {
+			vm.process.Kill()
+		}
+	}
 	return func() {
-		s.store.Delete("servers/" + old.ID())
-		old.Stop()
-		if err := s.startApp(vm); err != nil {
-			s.events = append(s.events, event{kind: "broken start: " + err.Error(), vm: vm.index, at: time.Now()})
+		for _, vm := range vms {
+			s.restart(vm)
 		}
 	}
 }
 
+// refuse makes the store turn a part of the VMs away.
+func (s *meshSoak) refuse(first *meshVM) func() {
+	vms := s.part(first)
+	set := func(refuse bool) {
+		for _, vm := range vms {
+			s.store.Refuse(vm.hidden, refuse)
+		}
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+// crash ends the backend server without notice. Its entry lapses, and another
+// one takes its place.
+func (s *meshSoak) crash(vm *meshVM) func() {
+	if !vm.drainedSince.IsZero() {
+		return nil
+	}
+	old := vm.app
+	vm.drainedSince = time.Now()
+	old.Stop()
+	return func() { s.replace(vm, old) }
+}
+
+// replace removes a backend server and starts another one.
+func (s *meshSoak) replace(vm *meshVM, old *standin.App) {
+	s.store.Delete("servers/" + old.ID())
+	old.Stop()
+	if err := s.startApp(vm); err != nil {
+		s.events = append(s.events, event{kind: "broken start: " + err.Error(), vm: vm.index, at: time.Now()})
+	}
+}
+
 // killAll kills all nodes at the same time and starts them again.
 func (s *meshSoak) killAll() {
 	s.locked(func() {
--- a/trial/mesh_load.go
+++ b/trial/mesh_load.go
@@ -14,6 +14,7 @@
 // callLoop sends the requests of one caller over connections that it keeps
 // until the process at the other end is gone.
 func (s *meshSoak) callLoop(ctx context.Context, vm *meshVM, caller int, random *rand.Rand) {
+	pace := float64(meshPace) * max(float64(s.o.VMs)/meshUsual, 1)
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}
 	for i := 0; ctx.Err() == nil; i++ {
 		r := record{id: fmt.Sprintf("%d-%d-%d", vm.index, caller, i), vm: vm.index}
@@ -31,7 +32,7 @@
 			r.path = fmt.Sprintf("/v%d/x", r.version)
 		}
 		s.call(ctx, client, vm, r)
-		sleep(ctx, time.Duration(random.ExpFloat64()*float64(meshPace)))
+		sleep(ctx, time.Duration(random.ExpFloat64()*pace))
 	}
 }
 
--- a/trial/proxy.go
+++ b/trial/proxy.go
@@ -18,6 +18,8 @@
 	linkSlow
 	// linkOneWay holds what the side that opened a connection sends.
 	linkOneWay
+	// linkAnswers holds what the side that was connected to sends.
+	linkAnswers
 	// linkSilent holds both directions.
 	linkSilent
 )
@@ -32,9 +34,12 @@
 
 // proxy forwards TCP connections between loopback addresses and injects faults.
 type proxy struct {
-	ln   net.Listener
-	to   string
-	mode atomic.Int32
+	ln net.Listener
+	// dialer connects from the address that the proxy listens on, so that the
+	// other side can tell VMs apart.
+	dialer net.Dialer
+	to     string
+	mode   atomic.Int32
 
 	mu    sync.Mutex
 	conns map[*net.TCPConn]struct{}
@@ -46,6 +51,7 @@
 		return nil, err
 	}
 	p := &proxy{ln: ln, to: to, conns: make(map[*net.TCPConn]struct{})}
+	p.dialer.LocalAddr = &net.TCPAddr{IP: ln.Addr().(*net.TCPAddr).IP}
 	go p.accept()
 	return p, nil
 }
@@ -63,7 +69,7 @@
 }
 
 func (p *proxy) forward(in *net.TCPConn) {
-	out, err := net.Dial("tcp", p.to)
+	out, err := p.dialer.Dial("tcp", p.to)
 	if err != nil {
 		// A port without a listener resets the connection.
 		_ = in.SetLinger(0)
@@ -127,7 +133,7 @@
 		case m == linkSlow:
 			time.Sleep(linkDelay)
 			return
-		case m == linkSilent || m == linkOneWay && outward:
+		case m == linkSilent || m == linkOneWay && outward || m == linkAnswers && !outward:
 			time.Sleep(linkPoll)
 		default:
 			return
