operator: Encode log lines without reflection and write them together

A profile of BenchmarkCall has 11% of the processor time and 20% of the allocations in log lines, and 10% of the allocations in copies of headers.

Ruled out: fewer lines, which the users need; a larger heap, whose memory costs more than its processor time.

Change: lines are encoded without reflection, the fields of the two lines of a request are not copied, lines that wait are written in one call, and header copies share their values.

--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -195,7 +196,7 @@
 func (s *seat) exchange(ctx context.Context, c *call, instance string) result {
 	s.enter(c)
 	defer s.leave(c)
-	h := c.header.Clone()
+	h := maps.Clone(c.header)
 	stampDeadline(h, c.left(s.o.clock.Now()))
 	h.Set(platform.HeaderInstance, instance)
 	h.Set(platform.HeaderCaller, c.origin)
@@ -226,11 +227,12 @@
 
 func (s *seat) logRun(c *call, instance string, r result, took time.Duration) {
 	load := r.feedback.Load
-	s.o.log.WithFields(logrus.Fields{
+	now := s.o.clock.Now()
+	operator.Line(s.o.log, now, levelOf(r.outcome), "run", logrus.Fields{
 		"request": c.id, "route": c.route, "class": c.class, "instance": instance,
 		"outcome": r.outcome.String(), "reason": string(r.reason), "detail": r.detail,
-		"left": c.left(s.o.clock.Now()).Milliseconds(), "took": took.Milliseconds(), "load": load.String(),
-	}).Log(levelOf(r.outcome), "run")
+		"left": c.left(now).Milliseconds(), "took": took.Milliseconds(), "load": load.String(),
+	})
 }
 
 // receive reads the body of a response, whole where it is small.
--- a/mesh/wire.go
+++ b/mesh/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -138,9 +139,10 @@
 	return r, nil
 }
 
-// without returns a header without some names; the header stays as it is.
+// without returns a header without some names; the header stays as it is. The
+// values are shared and not changed.
 func without(h http.Header, names ...string) http.Header {
-	out := h.Clone()
+	out := maps.Clone(h)
 	for _, name := range names {
 		out.Del(name)
 	}
--- /dev/null
+++ b/operator/line.go
@@ -0,0 +1,78 @@
+package operator
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// lineFormatter encodes an entry as one line of JSON, its fields in the order of
+// their names. It is logrus.JSONFormatter without reflection for the usual
+// types: every request writes two lines.
+type lineFormatter struct{}
+
+// lineFields is the number of fields that are sorted without an allocation.
+const lineFields = 32
+
+// Format implements logrus.Formatter.
+func (lineFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	var names [lineFields]string
+	keys := names[:0]
+	for k := range e.Data {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	b := e.Buffer.AvailableBuffer()
+	b = append(b, `{"time":"`...)
+	b = e.Time.AppendFormat(b, time.RFC3339Nano)
+	b = append(b, `","level":"`...)
+	b = append(b, e.Level.String()...)
+	b = append(b, `","msg":`...)
+	b = appendString(b, e.Message)
+	for _, k := range keys {
+		b = append(b, ',')
+		b = appendString(b, k)
+		b = append(b, ':')
+		var err error
+		if b, err = appendValue(b, e.Data[k]); err != nil {
+			return nil, err
+		}
+	}
+	return append(b, '}', '\n'), nil
+}
+
+func appendValue(b []byte, v any) ([]byte, error) {
+	switch v := v.(type) {
+	case string:
+		return appendString(b, v), nil
+	case bool:
+		return strconv.AppendBool(b, v), nil
+	case int:
+		return strconv.AppendInt(b, int64(v), 10), nil
+	case int64:
+		return strconv.AppendInt(b, v, 10), nil
+	case uint64:
+		return strconv.AppendUint(b, v, 10), nil
+	case error:
+		return appendString(b, v.Error()), nil
+	}
+	src, err := json.Marshal(v)
+	return append(b, src...), err
+}
+
+// appendString appends a JSON string. One that needs no escape is copied.
+func appendString(b []byte, s string) []byte {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
+			// A string always encodes.
+			src, _ := json.Marshal(s)
+			return append(b, src...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
+}
--- a/operator/log.go
+++ b/operator/log.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"bytes"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +19,10 @@
 	// warn, so that load does not grow the volume.
 	infoRate = 150
 	warnRate = 300
+	// gather is how long lines are gathered for one write, and gatherBytes the
+	// size beyond which they are written at once.
+	gather      = 20 * time.Millisecond
+	gatherBytes = 32 << 10
 )
 
 // LogStream writes log lines in the background. A line that finds the queue full
@@ -26,12 +32,17 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	done    chan struct{}
-	format  logrus.JSONFormatter
-	info    rate
-	warn    rate
+	clock   clockwork.Clock
+	// closing is set when no more lines come.
+	closing atomic.Bool
+	format  lineFormatter
+
+	// mu guards the rates.
+	mu         sync.Mutex
+	info, warn rate
 }
 
-// rate bounds lines per second; only Format uses it, under the logger's mutex.
+// rate bounds lines per second.
 type rate struct {
 	most   float64
 	tokens float64
@@ -57,10 +68,9 @@
 	}
 	now := clock.Now()
 	s := &LogStream{
-		out: out, lines: make(chan []byte, logQueue), done: make(chan struct{}),
-		format: logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano},
-		info:   rate{most: infoRate, tokens: infoRate, last: now},
-		warn:   rate{most: warnRate, tokens: warnRate, last: now},
+		out: out, lines: make(chan []byte, logQueue), done: make(chan struct{}), clock: clock,
+		info: rate{most: infoRate, tokens: infoRate, last: now},
+		warn: rate{most: warnRate, tokens: warnRate, last: now},
 	}
 	go s.run()
 	log := logrus.New()
@@ -73,11 +83,7 @@
 // Format implements logrus.Formatter. It returns nothing for a line above the
 // rate of its level.
 func (s *LogStream) Format(e *logrus.Entry) ([]byte, error) {
-	r := &s.info
-	if e.Level <= logrus.WarnLevel {
-		r = &s.warn
-	}
-	if !r.allow(e.Time) {
+	if !s.allow(e) {
 		s.dropped.Add(1)
 		return nil, nil
 	}
@@ -87,6 +93,32 @@
 	return s.format.Format(e)
 }
 
+func (s *LogStream) allow(e *logrus.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.Level <= logrus.WarnLevel {
+		return s.warn.allow(e.Time)
+	}
+	return s.info.allow(e.Time)
+}
+
+// Line logs fields that the caller does not use any more. logrus copies fields
+// twice, which costs more than to encode them; each request has two such lines.
+// Hooks of the logger are not called.
+func Line(log *logrus.Logger, now time.Time, level logrus.Level, msg string, fields logrus.Fields) {
+	if !log.IsLevelEnabled(level) {
+		return
+	}
+	e := logrus.Entry{Logger: log, Data: fields, Time: now, Level: level, Message: msg, Buffer: &bytes.Buffer{}}
+	line, err := log.Formatter.Format(&e)
+	if err != nil {
+		log.WithField("error", err.Error()).Error("line of the log can't be encoded")
+		return
+	}
+	// What the output can't take is lost; there is nowhere else to report it.
+	_, _ = log.Out.Write(line)
+}
+
 // Write queues one line.
 func (s *LogStream) Write(p []byte) (int, error) {
 	if len(p) == 0 {
@@ -100,17 +132,41 @@
 	return len(p), nil
 }
 
+// run writes the queued lines, as many as there are in one call.
 func (s *LogStream) run() {
 	defer close(s.done)
+	var buf []byte
 	for line := range s.lines {
-		// A failed write loses the line; there is nowhere else to report it.
-		_, _ = s.out.Write(line)
+		buf = append(buf[:0], line...)
+		if !s.closing.Load() {
+			s.clock.Sleep(gather)
+		}
+		buf = s.queued(buf)
+		// A failed write loses the lines; there is nowhere else to report it.
+		_, _ = s.out.Write(buf)
+	}
+}
+
+// queued appends the lines that wait already.
+func (s *LogStream) queued(buf []byte) []byte {
+	for len(buf) < gatherBytes {
+		select {
+		case line, ok := <-s.lines:
+			if !ok {
+				return buf
+			}
+			buf = append(buf, line...)
+		default:
+			return buf
+		}
 	}
+	return buf
 }
 
 // Close writes the lines that are queued, for at most the given time. No line
 // may be logged afterwards.
 func (s *LogStream) Close(wait time.Duration) {
+	s.closing.Store(true)
 	close(s.lines)
 	select {
 	case <-s.done:
