mesh: Hold the first request of TestDrainQueued until its server is gone

The first request took 300 ms, within which the server's leaving had to be known so that the queued request was still queued; it now becomes known within 0.6 s of a change in the first 3 s.

Ruled out: a request that runs at a server known to have left: in the failures the server was still listed when the slot became free.

Change: the stand-in holds the first request until the node knows. The check is the same and no longer depends on time.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -293,16 +293,21 @@
 func TestDrainQueued(t *testing.T) {
 	f := newFleet(t)
 	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
-	one := f.add(standin.AppOptions{ID: "i-1", Service: "book", Slots: 1, Work: 300 * time.Millisecond})
+	gone := make(chan struct{})
+	one := f.add(standin.AppOptions{ID: "i-1", Service: "book", Slots: 1, Fault: func(string) standin.AppFault {
+		<-gone
+		return ""
+	}})
 	f.config(1, routeTo("book", "/book/", "unsafe"))
 	first := make(chan reply, 1)
 	go func() { first <- shop.send(request{path: "/book/x", id: "first"}) }()
-	require.Eventually(t, func() bool { return one.app.Runs("first") == 1 }, waitLimit, time.Millisecond)
+	require.Eventually(t, func() bool { return len(one.app.Arrivals()) == 1 }, waitLimit, time.Millisecond)
 	queued := make(chan reply, 1)
 	go func() { queued <- shop.send(request{path: "/book/x", id: "queued"}) }()
 	require.Eventually(t, func() bool { return one.node.gate.Load().Used() == 2 }, waitLimit, time.Millisecond)
 	f.store.Delete("servers/i-1")
 	require.Eventually(t, func() bool { return one.node.seat.server.Load() == nil }, waitLimit, time.Millisecond)
+	close(gone)
 	require.Equal(t, http.StatusOK, (<-first).status)
 	require.Equal(t, http.StatusServiceUnavailable, (<-queued).status)
 	require.Zero(t, one.app.Runs("queued"))
