trial: Let only faults of the process excuse a cut request or late work

A fault anywhere within 3 s excused both checks, and there nearly always is one.

Ruled out: a soak with fewer faults, which would lose their overlap.

Change: a cut request is excused only by what ends or pauses the process that took it, late work only by faults of the node beside the server and by the store. Events note which VMs they concern and when they really ended.

--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -106,16 +106,24 @@
 	version     int
 }
 
-// event is one fault or planned change, for the checks that depend on calm.
+// event is one fault or planned change.
 type event struct {
 	kind   string
-	vm     int
 	at     time.Time
 	until  time.Time
 	app    string
 	starts int
+	// vm is the first VM that is concerned and vms how many are, in turn; the last
+	// one is followed by the first of all.
+	vm, vms, of int
+	// fault is set where the event is not planned, ends where it ends or pauses
+	// processes, store where it keeps nodes from the store.
+	fault, ends, store bool
 }
 
+// concerns reports whether the event happens at a VM.
+func (e event) concerns(vm int) bool { return (vm-e.vm+e.of)%e.of < e.vms }
+
 // services are what the VMs serve, in turn: front calls deep, book may run once.
 var meshServices = []string{"front", "book", "deep"}
 
--- a/trial/mesh_check.go
+++ b/trial/mesh_check.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// calm is how long before a request no fault may have been for the checks
-	// that need calm.
+	// calm is how long the effects of a fault last beyond its end.
 	calm = 3 * time.Second
 	// drainLimit is the time after which a backend server that is leaving gets no
 	// new work.
@@ -83,11 +82,11 @@
 }
 
 // cutByStop reports whether the caller's node was stopped as planned while the
-// request was in progress, with no fault around it.
+// request was in progress. Only what ends or pauses that process excuses it.
 func (s *meshSoak) cutByStop(r record) bool {
 	stopped := false
 	for _, e := range s.events {
-		if strings.HasPrefix(e.kind, "fault") && e.at.Before(r.end) && e.until.Add(calm).After(r.begin) {
+		if e.ends && e.concerns(r.vm) && e.at.Before(r.end) && e.until.Add(calm).After(r.begin) {
 			return false
 		}
 		if e.kind == "term" && e.vm == r.vm && e.starts == r.starts && !e.at.Before(r.begin) && e.at.Before(r.end) {
@@ -161,7 +160,7 @@
 }
 
 // checkDrain checks that nothing reaches a backend server long after it began to
-// drain, where no fault kept the nodes from learning it.
+// drain, where no fault kept the node beside it from learning that.
 func (s *meshSoak) checkDrain(arrivals []arrival) []string {
 	var found []string
 	for _, e := range s.events {
@@ -169,7 +168,7 @@
 			continue
 		}
 		for _, a := range arrivals {
-			if a.app == e.app && a.At.After(e.at.Add(drainLimit)) && s.calmBetween(e.at.Add(-calm), a.At) {
+			if a.app == e.app && a.At.After(e.at.Add(drainLimit)) && s.told(e.vm, e.at.Add(-calm), a.At) {
 				found = append(found, fmt.Sprintf("request %s reached %s %s after it drained", a.ID, a.app, a.At.Sub(e.at)))
 			}
 		}
@@ -177,9 +176,10 @@
 	return found
 }
 
-func (s *meshSoak) calmBetween(from, to time.Time) bool {
+// told reports whether no fault kept a VM's node from what the store says.
+func (s *meshSoak) told(vm int, from, to time.Time) bool {
 	for _, e := range s.events {
-		if strings.HasPrefix(e.kind, "fault") && e.at.Before(to) && e.until.After(from) {
+		if (e.store || e.fault && e.concerns(vm)) && e.at.Before(to) && e.until.After(from) {
 			return false
 		}
 	}
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -26,6 +26,9 @@
 	length time.Duration
 	// planned faults are changes that must not disturb anybody.
 	planned bool
+	// ends is set where processes end or pause, wide where a part of the VMs is
+	// concerned, store where nodes are kept from the store.
+	ends, wide, store bool
 }
 
 func linkFault(m linkMode) func(*meshSoak, *meshVM) func() {
@@ -67,12 +70,12 @@
 }
 
 var meshFaults = []meshFault{
-	{name: "herd", begin: (*meshSoak).herd, length: 300 * time.Millisecond},
+	{name: "herd", begin: (*meshSoak).herd, length: 300 * time.Millisecond, ends: true, wide: true},
 	{name: "crash", begin: (*meshSoak).crash},
 	{name: "kill", begin: func(s *meshSoak, vm *meshVM) func() {
 		vm.process.Kill()
 		return func() { s.restart(vm) }
-	}, length: 300 * time.Millisecond},
+	}, length: 300 * time.Millisecond, ends: true},
 	{name: "term", begin: (*meshSoak).term, planned: true},
 	{name: "hup", begin: func(_ *meshSoak, vm *meshVM) func() {
 		_ = vm.process.cmd.Process.Signal(syscall.SIGHUP)
@@ -82,7 +85,7 @@
 		p := vm.process
 		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 		return func() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
-	}},
+	}, ends: true},
 	{name: "slow", begin: linkFault(linkSlow)},
 	{name: "oneway", begin: linkFault(linkOneWay)},
 	{name: "answers", begin: linkFault(linkAnswers)},
@@ -96,15 +99,15 @@
 		vm.storeLink.set(linkSilent)
 		return func() { vm.storeLink.set(linkOpen) }
 	}},
-	{name: "store-busy", begin: storeFault(standin.StoreBusy)},
-	{name: "store-silent", begin: storeFault(standin.StoreSilent)},
-	{name: "store-slow", begin: storeLinks(linkSlow)},
-	{name: "store-lost", begin: storeLinks(linkAnswers)},
-	{name: "store-refuse", begin: (*meshSoak).refuse},
+	{name: "store-busy", begin: storeFault(standin.StoreBusy), store: true},
+	{name: "store-silent", begin: storeFault(standin.StoreSilent), store: true},
+	{name: "store-slow", begin: storeLinks(linkSlow), store: true},
+	{name: "store-lost", begin: storeLinks(linkAnswers), store: true},
+	{name: "store-refuse", begin: (*meshSoak).refuse, store: true},
 	{name: "store-compact", begin: func(s *meshSoak, _ *meshVM) func() {
 		s.store.Compact()
 		return nil
-	}},
+	}, store: true},
 	{name: "app-lose", begin: appFault(standin.AppLose)},
 	{name: "app-cut", begin: appFault(standin.AppCut)},
 	{name: "app-extra", begin: appFault(standin.AppExtra)},
@@ -123,6 +126,8 @@
 	type pending struct {
 		at  time.Time
 		end func()
+		// event is the index of the fault's event.
+		event int
 	}
 	var open []pending
 	finish := func(all bool) {
@@ -133,7 +138,11 @@
 				continue
 			}
 			sleep(ctx, time.Until(p.at))
-			s.locked(p.end)
+			s.locked(func() {
+				p.end()
+				// Ends come one after the other, and that of a stop waits for the process.
+				s.events[p.event].until = time.Now()
+			})
 		}
 		open = kept
 	}
@@ -147,7 +156,7 @@
 		}
 		s.locked(func() {
 			if stop := s.begin(f, vm, length); stop != nil {
-				open = append(open, pending{at: time.Now().Add(length), end: stop})
+				open = append(open, pending{at: time.Now().Add(length), end: stop, event: len(s.events) - 1})
 			}
 		})
 		sleep(ctx, time.Duration((0.3+s.random.ExpFloat64()*0.7)*float64(faultGap)))
@@ -165,9 +174,12 @@
 // begin starts a fault and notes it. The caller holds the lock.
 func (s *meshSoak) begin(f meshFault, vm *meshVM, length time.Duration) func() {
 	now := time.Now()
-	e := event{kind: f.name, vm: vm.index, at: now, until: now.Add(length), app: vm.app.ID(), starts: vm.starts}
-	if !f.planned {
-		e.kind = "fault " + f.name
+	e := event{
+		kind: f.name, at: now, until: now.Add(length), app: vm.app.ID(), starts: vm.starts,
+		vm: vm.index, vms: 1, of: len(s.vms), fault: !f.planned, ends: f.ends, store: f.store,
+	}
+	if f.wide {
+		e.vms = len(s.part(vm))
 	}
 	stop := f.begin(s, vm)
 	s.events = append(s.events, e)
@@ -281,7 +293,10 @@
 func (s *meshSoak) killAll() {
 	s.locked(func() {
 		now := time.Now()
-		s.events = append(s.events, event{kind: "fault kill-all", vm: -1, at: now, until: now.Add(meshRecovery)})
+		n := len(s.vms)
+		s.events = append(s.events, event{
+			kind: "kill-all", at: now, until: now.Add(meshRecovery), vms: n, of: n, fault: true, ends: true,
+		})
 		for _, vm := range s.vms {
 			if vm.process.Running() {
 				vm.process.Kill()
