--- a/mesh/seat.go
+++ b/mesh/seat.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -234,38 +233,3 @@
 		"left": c.left(now).Milliseconds(), "took": took.Milliseconds(), "load": load.String(),
 	})
 }
-
-// receive reads the body of a response, whole where it is small.
-func receive(resp *h1.Response, memory *semaphore.Weighted) result {
-	a := &answer{status: resp.Status, header: resp.Header, length: resp.Length}
-	if !a.held.take(memory, resp.Length) {
-		a.stream = resp.Body
-		return result{outcome: frame.Answered, answer: a}
-	}
-	kept, err := io.ReadAll(io.LimitReader(resp.Body, keptBody+1))
-	if err != nil {
-		_ = resp.Body.Close()
-		a.held.release()
-		return lost(frame.ReasonPartial, err.Error())
-	}
-	if len(kept) > keptBody {
-		a.stream = &prefixed{Reader: io.MultiReader(bytes.NewReader(kept), resp.Body), Closer: resp.Body}
-		return result{outcome: frame.Answered, answer: a}
-	}
-	_ = resp.Body.Close()
-	a.held.shrink(len(kept))
-	a.body, a.length = kept, int64(len(kept))
-	return result{outcome: frame.Answered, answer: a}
-}
-
-// prefixed is a body of which a part was read already.
-type prefixed struct {
-	io.Reader
-	io.Closer
-}
-
-// drain reads a short body to its end, so that its connection is kept.
-func drain(body io.ReadCloser) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, keptBody))
-	return errors.Join(err, body.Close())
-}
