cmd/dogwoodhead: Keep SIGHUP from ending a node that is stopping

Cause: followSettings ended with the context of SIGTERM, and its signal.Stop gave SIGHUP back its default action, which ends the process.

Ruled out: what else ends with the stop's context. The follower, syncer, feeder, ticker and control server run on a context that ends only after the drain; listeners, body memory and connections stay open until then. Found there: a goroutine that still logs after the log stream was closed ended the process with a panic (send on closed channel).

The role 'node' ignores SIGHUP, which used to end it. The soak stops nodes amid reloads and checks their exit status.

Conclusion: a signal no longer changes a graceful shutdown.

--- a/cmd/dogwoodhead/node.go
+++ b/cmd/dogwoodhead/node.go
@@ -18,9 +18,12 @@
 		Use:   "node --settings FILE",
 		Short: "Run the node beside one backend server",
 		Long: `Runs the node until it receives SIGTERM or SIGINT. It then refuses new calls for
-its backend server, completes the calls in progress and exits with 0.`,
+its backend server, completes the calls in progress and exits with 0. SIGHUP is
+ignored: changed settings need a restart.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// The default action of SIGHUP would end the process at once.
+			signal.Ignore(syscall.SIGHUP)
 			src, err := os.ReadFile(file)
 			if err != nil {
 				return eris.Wrap(err, "read settings")
--- a/operator/log.go
+++ b/operator/log.go
@@ -30,11 +30,11 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    chan struct{}
-	clock   clockwork.Clock
-	// closing is set when no more lines are logged.
-	closing   atomic.Bool
-	formatter lineFormatter
+	// closing is closed by Close, done once the lines queued by then are written.
+	// lines is never closed, so that a late line is lost and not a panic.
+	closing, done chan struct{}
+	clock         clockwork.Clock
+	formatter     lineFormatter
 
 	// mu guards the rate limiters.
 	mu                       sync.Mutex
@@ -67,7 +67,7 @@
 	}
 	now := clock.Now()
 	s := &LogStream{
-		out: out, lines: make(chan []byte, logQueueSize), done: make(chan struct{}), clock: clock,
+		out: out, lines: make(chan []byte, logQueueSize), closing: make(chan struct{}), done: make(chan struct{}), clock: clock,
 		infoLimiter: rateLimiter{perSecond: infoLinesPerSecond, tokens: infoLinesPerSecond, last: now},
 		warnLimiter: rateLimiter{perSecond: warnLinesPerSecond, tokens: warnLinesPerSecond, last: now},
 	}
@@ -131,17 +131,37 @@
 	return len(p), nil
 }
 
-// writeBatches writes the queued lines in batches until the queue is closed.
+// writeBatches writes the queued lines in batches until Close.
 func (s *LogStream) writeBatches() {
 	defer close(s.done)
 	var batch []byte
-	for line := range s.lines {
-		batch = append(batch[:0], line...)
-		if !s.closing.Load() {
-			s.clock.Sleep(batchDelay)
+	for {
+		select {
+		case line := <-s.lines:
+			batch = append(batch[:0], line...)
+			s.waitForBatch()
+			batch = s.drainQueue(batch)
+			// A failed write loses the lines; there is nowhere else to report it.
+			_, _ = s.out.Write(batch)
+		case <-s.closing:
+			s.writeRest(batch)
+			return
 		}
-		batch = s.drainQueue(batch)
-		// A failed write loses the lines; there is nowhere else to report it.
+	}
+}
+
+// waitForBatch waits batchDelay for more lines, or until Close.
+func (s *LogStream) waitForBatch() {
+	select {
+	case <-s.clock.After(batchDelay):
+	case <-s.closing:
+	}
+}
+
+// writeRest writes the lines that are queued at Close, in the buffer of a batch.
+func (s *LogStream) writeRest(batch []byte) {
+	for len(s.lines) > 0 {
+		batch = s.drainQueue(batch[:0])
 		_, _ = s.out.Write(batch)
 	}
 }
@@ -150,10 +170,7 @@
 func (s *LogStream) drainQueue(batch []byte) []byte {
 	for len(batch) < maxBatchBytes {
 		select {
-		case line, ok := <-s.lines:
-			if !ok {
-				return batch
-			}
+		case line := <-s.lines:
 			batch = append(batch, line...)
 		default:
 			return batch
@@ -162,11 +179,10 @@
 	return batch
 }
 
-// Close writes the queued lines, for at most the given time. No line may be
-// logged afterwards.
+// Close writes the queued lines, for at most the given time. Lines logged
+// afterwards are lost.
 func (s *LogStream) Close(wait time.Duration) {
-	s.closing.Store(true)
-	close(s.lines)
+	close(s.closing)
 	select {
 	case <-s.done:
 	case <-time.After(wait):
--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -120,6 +120,8 @@
 	// unplanned is set for faults, affectsProcess if node processes are killed
 	// or paused, blocksStore if nodes cannot reach the store.
 	unplanned, affectsProcess, blocksStore bool
+	// stopsNode is set if the node of firstVM is stopped as planned.
+	stopsNode bool
 }
 
 // affects reports whether the event affects a VM.
--- a/trial/mesh_check.go
+++ b/trial/mesh_check.go
@@ -90,7 +90,7 @@
 		if e.affectsProcess && e.affects(r.vm) && e.start.Before(r.end) && e.end.Add(faultSettleTime).After(r.begin) {
 			return false
 		}
-		if e.kind == "term" && e.firstVM == r.vm && e.nodeStarts == r.nodeStarts && !e.start.Before(r.begin) && e.start.Before(r.end) {
+		if e.stopsNode && e.firstVM == r.vm && e.nodeStarts == r.nodeStarts && !e.start.Before(r.begin) && e.start.Before(r.end) {
 			stopped = true
 		}
 	}
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -26,6 +26,8 @@
 	duration time.Duration
 	// planned changes must not disturb any request.
 	planned bool
+	// stopsNode is set if the node is stopped as planned.
+	stopsNode bool
 	// affectsProcess is set if node processes are killed or paused, multipleVMs
 	// if a group of VMs is affected, blocksStore if nodes cannot reach the store.
 	affectsProcess, multipleVMs, blocksStore bool
@@ -76,7 +78,8 @@
 		vm.node.Kill()
 		return func() { s.restartNode(vm) }
 	}, duration: 300 * time.Millisecond, affectsProcess: true},
-	{name: "term", begin: (*meshSoak).stopNode, planned: true},
+	{name: "term", begin: (*meshSoak).stopNode, planned: true, stopsNode: true},
+	{name: "term-hup", begin: (*meshSoak).stopNodeWithReloads, planned: true, stopsNode: true},
 	{name: "hup", begin: func(_ *meshSoak, vm *meshVM) func() {
 		_ = vm.node.cmd.Process.Signal(syscall.SIGHUP)
 		return nil
@@ -193,6 +196,7 @@
 	e := event{
 		kind: f.name, start: now, end: now.Add(duration), appID: vm.app.ID(), nodeStarts: vm.nodeStarts,
 		firstVM: vm.index, vmCount: 1, totalVMs: len(s.vms), unplanned: !f.planned, affectsProcess: f.affectsProcess, blocksStore: f.blocksStore,
+		stopsNode: f.stopsNode,
 	}
 	if f.multipleVMs {
 		e.vmCount = len(s.vmGroup(vm))
@@ -232,12 +236,46 @@
 			s.recordFailure(vm, "stop: exceeded the grace period")
 			node.Kill()
 		}
+		if node.exitErr != nil && !node.killed {
+			s.recordFailure(vm, "stop: "+node.exitErr.Error())
+		}
 		if node == vm.node {
 			s.restartNode(vm)
 		}
 	}
 }
 
+const (
+	// stopReloads is how many reloads a node is sent around a planned stop, and
+	// maxReloadPause bounds the pause before each.
+	stopReloads    = 6
+	maxReloadPause = 400 * time.Millisecond
+)
+
+// stopNodeWithReloads stops the process as planned and also sends it SIGHUP and
+// SIGTERM before and during the stop.
+func (s *meshSoak) stopNodeWithReloads(vm *meshVM) func() {
+	node := vm.node
+	_ = node.cmd.Process.Signal(syscall.SIGHUP)
+	end := s.stopNode(vm)
+	if end == nil {
+		return nil
+	}
+	pauses := make([]time.Duration, stopReloads)
+	for i := range pauses {
+		pauses[i] = time.Duration(s.random.Int64N(int64(maxReloadPause)))
+	}
+	go func() {
+		for _, pause := range pauses {
+			time.Sleep(pause)
+			// The process may have ended.
+			_ = node.cmd.Process.Signal(syscall.SIGHUP)
+		}
+		_ = node.cmd.Process.Signal(syscall.SIGTERM)
+	}()
+	return end
+}
+
 // drainApp drains the backend server and replaces it.
 func (s *meshSoak) drainApp(vm *meshVM) func() {
 	old := vm.app
