--- a/h1/client.go
+++ b/h1/client.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -19,6 +18,12 @@
 const (
 	// readBufferSize fits the headers of a typical response, in bytes.
 	readBufferSize = 2 << 10
+	// maxHeadBytes limits the status line and header of a response, together with
+	// the interim (1xx) responses before it, up to one read buffer more.
+	maxHeadBytes = 64 << 10
+	// MaxBodyBytes limits the body of a response. It is the largest body that the
+	// users' platform allows.
+	MaxBodyBytes = 64 << 20
 	// maxSkippedResponses limits the discarded responses to other requests.
 	maxSkippedResponses = 3
 	// maxSkippedBody limits the body of a discarded response, in bytes.
@@ -32,8 +37,14 @@
 	defaultMaxIdle = 64
 )
 
-// errOtherRequest reports a response that belongs to another request.
-var errOtherRequest = errors.New("response to another request")
+var (
+	// errOtherRequest reports a response that belongs to another request.
+	errOtherRequest = errors.New("response to another request")
+	// errHeadTooLarge reports a response whose head exceeds maxHeadBytes.
+	errHeadTooLarge = errors.New("head of the response is too large")
+	// errBodyTooLarge reports a response whose body exceeds MaxBodyBytes.
+	errBodyTooLarge = errors.New("body of the response is too large")
+)
 
 // Options configures a Client.
 type Options struct {
@@ -106,6 +117,7 @@
 	if err != nil {
 		return nil, &Error{addr: addr, op: "connect to", err: err}
 	}
+	conn.received = 0
 	x := &exchange{client: c, conn: conn, reusable: true}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := x.send(r); err != nil {
@@ -128,7 +140,7 @@
 		return nil, err
 	}
 	c.opts.ConnOpened(addr)
-	return &persistConn{Conn: raw, addr: addr, br: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return newPersistConn(raw, addr), nil
 }
 
 // exchange is one request and its response on a connection.
@@ -153,7 +165,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	return &Error{addr: x.conn.addr, sent: x.sent, op: "exchange with", err: err}
+	return &Error{addr: x.conn.addr, sent: x.sent, partial: x.conn.received > 0, op: "exchange with", err: err}
 }
 
 // send writes headers and body. A stream is sent in the background.
@@ -235,8 +247,13 @@
 // readHeader reads the status line and header of the next response, and skips
 // interim (1xx) ones.
 func (x *exchange) readHeader(method string) (*http.Response, error) {
+	x.conn.limitHead(maxHeadBytes)
+	defer x.conn.limitHead(noHeadLimit)
 	for {
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		if err != nil && x.conn.headBytesLeft <= 0 {
+			return nil, errHeadTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -248,8 +265,9 @@
 
 // discardResponse reads a response to another request to its end. After an error
 // the connection is unusable.
+//
+// The body is not closed: closing one of net/http reads it to its end first.
 func discardResponse(resp *http.Response) error {
-	defer resp.Body.Close()
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return io.ErrUnexpectedEOF
 	}
@@ -291,10 +309,16 @@
 	exchange *exchange
 	framed   io.ReadCloser
 	ended    bool
+	// length is the number of bytes read, at most MaxBodyBytes.
+	length int64
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.framed.Read(p)
+	b.length += int64(n)
+	if b.length > MaxBodyBytes {
+		n, err = 0, errBodyTooLarge
+	}
 	if err != nil && !b.ended {
 		b.end(errors.Is(err, io.EOF))
 	}
--- a/h1/error.go
+++ b/h1/error.go
@@ -6,8 +6,10 @@
 type Error struct {
 	addr string
 	sent bool
-	op   string
-	err  error
+	// partial is set if bytes arrived that are not a complete head.
+	partial bool
+	op      string
+	err     error
 }
 
 // Addr returns the server's ip:port.
@@ -16,6 +18,9 @@
 // Sent reports whether bytes of the request may have reached the server.
 func (e *Error) Sent() bool { return e.sent }
 
+// Partial reports whether the server sent bytes that are no complete response.
+func (e *Error) Partial() bool { return e.partial }
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.err }
 
--- a/h1/pool.go
+++ b/h1/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -14,13 +15,43 @@
 type persistConn struct {
 	net.Conn
 	addr string
-	br   *bufio.Reader
-	// used is set once the connection has carried a request.
-	used bool
+	// br reads from this persistConn, which enforces headBytesLeft.
+	br *bufio.Reader
+	// headBytesLeft is how many bytes may still be read for the head of a
+	// response; noHeadLimit while no head is read.
+	headBytesLeft int64
+	// received is the number of bytes read since the latest request was sent.
+	received int64
 	// expiresAt is when an idle connection is no longer used.
 	expiresAt time.Time
 }
 
+// noHeadLimit is the value of headBytesLeft for no limit.
+const noHeadLimit = math.MaxInt64
+
+func newPersistConn(raw net.Conn, addr string) *persistConn {
+	c := &persistConn{Conn: raw, addr: addr, headBytesLeft: noHeadLimit}
+	c.br = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+// limitHead limits the bytes read from now on.
+func (c *persistConn) limitHead(bytes int64) { c.headBytesLeft = bytes }
+
+// Read reads from the connection. It fails with errHeadTooLarge if the limit of
+// the head was reached before.
+func (c *persistConn) Read(p []byte) (int, error) {
+	if c.headBytesLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p)
+	c.received += int64(n)
+	if c.headBytesLeft != noHeadLimit {
+		c.headBytesLeft -= int64(n)
+	}
+	return n, err
+}
+
 // pool keeps idle connections and reuses the latest first, so that few stay open.
 type pool struct {
 	clock clockwork.Clock
@@ -62,7 +93,6 @@
 
 // put keeps a connection for the given time, or closes it if there is no room.
 func (p *pool) put(c *persistConn, idle time.Duration) {
-	c.used = true
 	c.expiresAt = p.clock.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -136,7 +136,7 @@
 	f.applyConfig(1, routeTo("book", "/book/", "unsafe"))
 	runs := func(id string) int { return apps[0].app.Runs(id) + apps[1].app.Runs(id) }
 	for i := range 20 {
-		for _, kind := range []standin.AppFault{"", standin.AppLose, standin.AppCut, standin.AppExtra, standin.AppFail} {
+		for _, kind := range []standin.AppFault{"", standin.AppLose, standin.AppCut, standin.AppEndless, standin.AppExtra, standin.AppFail} {
 			fault.Store(kind)
 			id := fmt.Sprintf("%d-%s", i, kind)
 			r := shop.send(callerRequest{path: "/book/x", id: id})
@@ -150,7 +150,7 @@
 			}
 			require.Equal(t, 1, runs(id), id)
 			switch kind {
-			case standin.AppLose, standin.AppCut:
+			case standin.AppLose, standin.AppCut, standin.AppEndless:
 				require.Equal(t, http.StatusBadGateway, r.status, id)
 				require.Empty(t, r.header.Get("X-Server-Stamp"))
 			case standin.AppFail:
@@ -163,6 +163,23 @@
 	}
 }
 
+// Guards against a server that sends bytes without end counting as healthy and
+// holding its slot and connection.
+func TestEndlessResponse(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 1, Fault: func(id string) standin.AppFault {
+		if id == "endless" {
+			return standin.AppEndless
+		}
+		return ""
+	}})
+	f.applyConfig(1, routeTo("shop", "/shop/", "unsafe"))
+	require.Equal(t, http.StatusBadGateway, shop.send(callerRequest{path: "/shop/x", id: "endless"}).status)
+	require.Positive(t, shop.node.localBackend.health.failedFraction())
+	require.Equal(t, http.StatusOK, shop.send(callerRequest{path: "/shop/x", id: "next"}).status)
+	require.Equal(t, 1, shop.app.Runs("endless"))
+}
+
 // Guards against idempotent requests failing without a retry, and against
 // retries beyond the budget.
 func TestRetrySafe(t *testing.T) {
--- a/mesh/result.go
+++ b/mesh/result.go
@@ -78,7 +78,12 @@
 	if errors.As(err, &h1Err) && !h1Err.Sent() {
 		return refused(contextReason(ctx, frame.ReasonDial), err.Error())
 	}
-	return unknownOutcome(contextReason(ctx, frame.ReasonLost), err.Error())
+	reason := contextReason(ctx, frame.ReasonLost)
+	if h1Err != nil && h1Err.Partial() && reason == frame.ReasonTimeout {
+		// The server failed: it sent something, but no response before the deadline.
+		reason = frame.ReasonPartial
+	}
+	return unknownOutcome(reason, err.Error())
 }
 
 // contextReason returns the reason for which ctx ended, fallback if it has not.
--- a/standin/app.go
+++ b/standin/app.go
@@ -26,6 +26,8 @@
 	AppExtra AppFault = "extra"
 	// AppFail runs the request and responds with 500.
 	AppFail AppFault = "fail"
+	// AppEndless runs the request and sends a header without end.
+	AppEndless AppFault = "endless"
 )
 
 // AppOptions configures an App.
@@ -239,6 +241,8 @@
 		panic(http.ErrAbortHandler)
 	case fault == AppExtra:
 		a.respondTwice(w, id, body)
+	case fault == AppEndless:
+		respondWithoutEnd(w)
 	default:
 		_, _ = io.WriteString(w, body)
 	}
@@ -260,6 +264,19 @@
 	}
 }
 
+// respondWithoutEnd writes a header until the connection is closed.
+func respondWithoutEnd(w http.ResponseWriter) {
+	c, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_, err = buf.WriteString("HTTP/1.1 200 OK\r\n")
+	for err == nil {
+		_, err = buf.WriteString("X-Any: value\r\n")
+	}
+}
+
 // makeCalls sends the requests of Calls and reports whether all succeeded.
 func (a *App) makeCalls(r *http.Request, id string) bool {
 	for i, target := range a.opts.Calls {
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -116,6 +116,7 @@
 	{name: "app-extra", begin: appFault(standin.AppExtra)},
 	{name: "app-shed", begin: appFault(standin.AppShed)},
 	{name: "app-fail", begin: appFault(standin.AppFail)},
+	{name: "app-endless", begin: appFault(standin.AppEndless)},
 	{name: "config", begin: func(s *meshSoak, _ *meshVM) func() {
 		s.putNextConfig()
 		return nil
