mesh: Buffer uploads before they ask for a slot

Cause: a request body above 64 KiB was streamed. Such an upload could not be sent to another server after a refusal, and a caller that sends slowly held a slot of the backend server (kind 'upload', bodies of 60 to 360 KB).

Ruled out: a separate path for the kind 'upload'. What matters is the size of the body, so it holds for every kind; the kind stays not idempotent.

Change: a request body with a length is buffered up to 512 KiB, read into one slice of that length, within the same share of the memory.

Before: TestUploadRefused got 503 with a free server, TestUploadSlowSender 503 while the slow caller held the only slot. After: both pass, and TestUploadCut (at most once, no refusal after a cut).

--- a/mesh/body.go
+++ b/mesh/body.go
@@ -13,17 +13,25 @@
 )
 
 const (
-	// maxBufferedBody is the largest body in bytes that is buffered. A larger body
-	// is streamed; a request with a streamed body can't be sent again.
+	// maxBufferedBody is the largest body of a response, or of a request without
+	// a length, in bytes that is buffered. A larger body is streamed.
 	maxBufferedBody = 64 << 10
+	// maxBufferedRequest is the largest body of a request with a length that is
+	// buffered. A streamed request can't be sent again after a refusal, and one
+	// from a slow caller occupies a slot of the backend server meanwhile.
+	maxBufferedRequest = 512 << 10
 	// bodyMemoryDivisor divides the process's memory to give the limit for all
 	// buffered request and response bodies. Beyond it, bodies of any size are
 	// streamed.
 	bodyMemoryDivisor = 8
 )
 
-// errBodyTooLarge reports that a body exceeds the configured limit.
-var errBodyTooLarge = errors.New("body is too large")
+var (
+	// errBodyTooLarge reports that a body exceeds the configured limit.
+	errBodyTooLarge = errors.New("body is too large")
+	// errBodyLength reports that a body is longer than announced.
+	errBodyLength = errors.New("body is longer than its length")
+)
 
 // readBody buffers a body that is small enough, or sets c.stream. limit is in
 // bytes; 0 means none. The error is errBodyTooLarge for a larger body.
@@ -38,7 +46,7 @@
 	if limit > 0 {
 		in = &limitedReader{in: r.Body, remaining: limit}
 	}
-	body, rest, err := c.reservation.read(in, r.ContentLength, memory)
+	body, rest, err := c.reservation.read(in, r.ContentLength, maxBufferedRequest, memory)
 	if err != nil {
 		return err
 	}
@@ -57,9 +65,29 @@
 }
 
 // read buffers a body if it is small enough and memory is free. Otherwise rest
-// streams the complete body. length is in bytes, negative if unknown.
-func (r *bodyReservation) read(in io.Reader, length int64, memory *semaphore.Weighted) (body []byte, rest io.Reader, err error) {
-	if !r.acquire(memory, length) {
+// streams the complete body. length is in bytes, negative if unknown; maxLength
+// applies if it is known.
+func (r *bodyReservation) read(in io.Reader, length, maxLength int64, memory *semaphore.Weighted) (body []byte, rest io.Reader, err error) {
+	if length < 0 {
+		return r.readUnknownLength(in, memory)
+	}
+	if length > maxLength || !r.acquire(memory, length) {
+		return nil, in, nil
+	}
+	body = make([]byte, length)
+	if _, err := io.ReadFull(in, body); err != nil {
+		return nil, nil, err
+	}
+	// The end of the body must be read: a response's connection is reused after it.
+	if n, err := io.ReadFull(in, make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) {
+		return nil, nil, errors.Join(errBodyLength, err)
+	}
+	return body, nil, nil
+}
+
+// readUnknownLength is read for a body of at most maxBufferedBody bytes.
+func (r *bodyReservation) readUnknownLength(in io.Reader, memory *semaphore.Weighted) (body []byte, rest io.Reader, err error) {
+	if !r.acquire(memory, maxBufferedBody) {
 		return nil, in, nil
 	}
 	buffered, err := io.ReadAll(io.LimitReader(in, maxBufferedBody+1))
@@ -74,12 +102,8 @@
 }
 
 // acquire reserves memory for a body and reports whether it may be buffered.
-// length is in bytes, negative if unknown.
 func (r *bodyReservation) acquire(memory *semaphore.Weighted, length int64) bool {
-	if length < 0 {
-		length = maxBufferedBody
-	}
-	if length > maxBufferedBody || !memory.TryAcquire(length) {
+	if !memory.TryAcquire(length) {
 		return false
 	}
 	r.pool, r.bytes = memory, length
@@ -120,7 +144,7 @@
 // readResponse returns the result for a response, with a small body buffered.
 func readResponse(resp *h1.Response, memory *semaphore.Weighted) result {
 	out := &response{status: resp.Status, header: resp.Header, length: resp.Length}
-	body, rest, err := out.reservation.read(resp.Body, resp.Length, memory)
+	body, rest, err := out.reservation.read(resp.Body, resp.Length, maxBufferedBody, memory)
 	if rest != nil {
 		out.stream = &prefixedBody{Reader: rest, Closer: resp.Body}
 		return result{outcome: frame.Answered, response: out}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -54,7 +54,7 @@
 	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
 	book := f.add(standin.AppOptions{ID: "i-book", Service: "book", Slots: 10})
 	f.applyConfig(1, routeTo("book", "/book/", "unsafe"))
-	long := strings.Repeat("0123456789", maxBufferedBody/5)
+	long := strings.Repeat("0123456789", maxBufferedRequest/5)
 	r := shop.send(callerRequest{method: http.MethodPost, path: "/book/x", id: "one", body: long})
 	require.Equal(t, http.StatusOK, r.status)
 	_, _, body := book.app.LastRequest("one")
--- /dev/null
+++ b/mesh/upload_test.go
@@ -0,0 +1,87 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/standin"
+)
+
+// uploadBytes is the size of a large upload of the users' platform.
+const uploadBytes = 360_000
+
+func postUpload(v *testVM, id string) callerResponse {
+	return v.send(callerRequest{method: http.MethodPost, path: "/art/x", id: id, body: strings.Repeat("u", uploadBytes)})
+}
+
+// Guards against a large upload failing because one backend server refused it
+// while another has free slots, and against uploads that run twice.
+func TestUploadRefused(t *testing.T) {
+	f := newFleet(t)
+	var shed atomic.Bool
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	one := f.add(standin.AppOptions{ID: "i-1", Service: "art", Slots: 10, Fault: func(string) standin.AppFault {
+		if shed.Load() {
+			return standin.AppShed
+		}
+		return ""
+	}})
+	two := f.add(standin.AppOptions{ID: "i-2", Service: "art", Slots: 10})
+	f.applyConfig(1, routeTo("art", "/art/", "upload"))
+	for i := range 100 {
+		require.Equal(t, http.StatusOK, shop.send(callerRequest{method: http.MethodPost, path: "/art/x", id: fmt.Sprint("warm", i)}).status)
+	}
+	shed.Store(true)
+	for i := range 10 {
+		id := fmt.Sprint("upload", i)
+		require.Equal(t, http.StatusOK, postUpload(shop, id).status, "a permit is free and another server has free slots")
+		require.Equal(t, 1, one.app.Runs(id)+two.app.Runs(id), id)
+		_, _, body := two.app.LastRequest(id)
+		require.Len(t, body, uploadBytes)
+	}
+}
+
+// Guards against an upload whose server breaks off being sent again or reported
+// as not run.
+func TestUploadCut(t *testing.T) {
+	f := newFleet(t)
+	cut := func(string) standin.AppFault { return standin.AppCut }
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	one := f.add(standin.AppOptions{ID: "i-1", Service: "art", Slots: 10, Fault: cut})
+	two := f.add(standin.AppOptions{ID: "i-2", Service: "art", Slots: 10, Fault: cut})
+	f.applyConfig(1, routeTo("art", "/art/", "upload"))
+	for i := range 10 {
+		id := fmt.Sprint("upload", i)
+		require.Equal(t, http.StatusBadGateway, postUpload(shop, id).status)
+		require.Equal(t, 1, one.app.Runs(id)+two.app.Runs(id), id)
+	}
+}
+
+// Guards against a caller that uploads slowly occupying a slot of the backend
+// server, and against a planned stop cutting an upload whose body is half read.
+func TestUploadSlowSender(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	art := f.add(standin.AppOptions{ID: "i-art", Service: "art", Slots: 1})
+	f.applyConfig(1, routeTo("art", "/art/", "upload"))
+	c := shop.connect(t)
+	half := strings.Repeat("u", uploadBytes/2)
+	c.send("POST /art/x HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 20000\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*len(half)) + half)
+	for i := range 5 {
+		require.Equal(t, http.StatusOK, postUpload(shop, fmt.Sprint("quick", i)).status, "the slot is free")
+	}
+	require.Zero(t, art.app.Runs("slow"))
+	shop.stop()
+	require.Eventually(t, func() bool { return !shop.ready() }, waitLimit, time.Millisecond)
+	c.send(half)
+	require.Equal(t, http.StatusOK, c.readStatus())
+	require.Equal(t, 1, art.app.Runs("slow"))
+	require.NoError(t, <-shop.done)
+}
