retry, peer: Need no permit after the refusal of a leaving node

Ruled out: more permits, which loosens the bound over the call chain. A leaving node refuses before its backend server is reached, so the next attempt adds no run; draining is not included, because it can be wrong.

Change: such an attempt is free, at most 3 times per call and hop.

Conclusion: a planned stop no longer depends on free permits.

--- a/peer/retry_decider.go
+++ b/peer/retry_decider.go
@@ -28,9 +28,9 @@
 	control     policy.ControlMode
 	budgets     *BaselineBudgets
 	out         OutgoingCall
-	// attempts counts failed attempts, shedAttempts those refused by a level.
-	attempts     int
-	shedAttempts int
+	// attempts counts failed attempts, shedAttempts those refused by a level, and
+	// leavingAttempts those refused by a leaving node.
+	attempts, shedAttempts, leavingAttempts int
 }
 
 func (f *Forwarder) newRetryDecider(out OutgoingCall) *retryDecider {
@@ -49,8 +49,11 @@
 func (d *retryDecider) takeRetry(err error, timeLeft time.Duration) (time.Duration, bool) {
 	d.attempts++
 	outcome, reason := frame.OutcomeOf(err)
-	if reason == frame.ReasonLevel {
+	switch reason {
+	case frame.ReasonLevel:
 		d.shedAttempts++
+	case frame.ReasonLeaving:
+		d.leavingAttempts++
 	}
 	if d.control != policy.ControlFull {
 		return 0, d.takeBaselineRetry(outcome)
@@ -58,8 +61,9 @@
 	decision := d.retryPolicy.Decide(retry.Failure{
 		Outcome: outcome, Reason: reason, Idempotent: d.out.Operation.Idempotent(), Keyed: d.out.KeyOwner.Known(),
 		Permits: d.out.PermitPool.Available(), TimeLeft: timeLeft, Attempts: d.attempts, ShedAttempts: d.shedAttempts,
+		LeavingAttempts: d.leavingAttempts,
 	})
-	if decision.Action == retry.GiveUp || !d.out.PermitPool.Spend() {
+	if decision.Action == retry.GiveUp || !decision.Free && !d.out.PermitPool.Spend() {
 		return 0, false
 	}
 	return decision.Wait, true
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -49,12 +49,19 @@
 	Attempts int
 	// ShedAttempts counts attempts refused by admission level, the last included.
 	ShedAttempts int
+	// LeavingAttempts counts attempts refused because the server's node was
+	// leaving, the last included.
+	LeavingAttempts int
 }
 
 // Decision is the result of Policy.Decide, whose caller must spend a permit
-// before every further attempt, whatever the reason: each one adds load.
+// before every further attempt that is not Free: each one adds load.
 type Decision struct {
 	Action Action
+	// Free is set if the next attempt replaces one that a leaving node refused
+	// before it reached the backend server. A planned stop must not fail a call
+	// because the permits are in use.
+	Free bool
 	// Wait is the delay before the attempt.
 	Wait time.Duration
 }
@@ -86,6 +93,10 @@
 // server may still differ, a third attempt would only add load.
 const maxShedAttempts = 2
 
+// maxFreeAttempts bounds the attempts of a call that need no permit. Several nodes
+// of a service may leave at once, before the caller's node knows.
+const maxFreeAttempts = 3
+
 // retryTiming is whether and when a call is retried after a reason.
 type retryTiming int
 
@@ -125,8 +136,9 @@
 // its owner refused is void.
 func (p Policy) Decide(f Failure) Decision {
 	timing := retryTimings[f.Reason]
+	free := f.Outcome == frame.NotRun && f.Reason == frame.ReasonLeaving && f.LeavingAttempts <= maxFreeAttempts
 	switch {
-	case f.Outcome == frame.Answered, timing == retryNever, f.Permits < 1:
+	case f.Outcome == frame.Answered, timing == retryNever, f.Permits < 1 && !free:
 		return Decision{}
 	case f.Outcome == frame.Unknown && !f.Idempotent && !f.Keyed:
 		return Decision{}
@@ -135,7 +147,7 @@
 	case f.ShedAttempts >= maxShedAttempts:
 		return Decision{}
 	}
-	d := Decision{Action: OtherServer}
+	d := Decision{Action: OtherServer, Free: free}
 	if f.Keyed {
 		d.Action = SameServer
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -26,6 +26,11 @@
 		wait bool
 	}{
 		{"leaving", Failure{Outcome: notRun, Reason: frame.ReasonLeaving, Permits: 1, TimeLeft: timeLeft, Attempts: 1}, OtherServer, false},
+		{"leaving, no permit", Failure{Outcome: notRun, Reason: frame.ReasonLeaving, TimeLeft: timeLeft, Attempts: 1, LeavingAttempts: 1}, OtherServer, false},
+		{"leaving, too often", Failure{Outcome: notRun, Reason: frame.ReasonLeaving, TimeLeft: timeLeft, Attempts: 4, LeavingAttempts: 4}, GiveUp, false},
+		{"leaving, unknown outcome", Failure{Outcome: unknown, Reason: frame.ReasonLeaving, TimeLeft: timeLeft, Attempts: 1, LeavingAttempts: 1}, GiveUp, false},
+		{"leaving, keyed", Failure{Outcome: notRun, Reason: frame.ReasonLeaving, Keyed: true, TimeLeft: timeLeft, Attempts: 1, LeavingAttempts: 1}, GiveUp, false},
+		{"draining, no permit", Failure{Outcome: notRun, Reason: frame.ReasonDraining, TimeLeft: timeLeft, Attempts: 1}, GiveUp, false},
 		{"dial", Failure{Outcome: notRun, Reason: frame.ReasonDial, Permits: 1, TimeLeft: timeLeft, Attempts: 1}, OtherServer, false},
 		{"dial, second", Failure{Outcome: notRun, Reason: frame.ReasonDial, Permits: 1, TimeLeft: timeLeft, Attempts: 2}, OtherServer, true},
 		{"dial, no permit", Failure{Outcome: notRun, Reason: frame.ReasonDial, TimeLeft: timeLeft, Attempts: 1}, GiveUp, false},
