--- a/frame/answer.go
+++ b/frame/answer.go
@@ -103,8 +103,9 @@
 
 // ParseLoad parses the form that String writes.
 func ParseLoad(s string) (Load, error) {
-	var l Load
-	if _, err := fmt.Sscanf(s, "%d/%d", &l.used, &l.limit); err != nil || l.used < 0 || l.limit < 0 {
+	used, limit, ok := parsePair(s, "/")
+	l := NewLoad(used, limit)
+	if !ok || l.String() != s {
 		return Load{}, fmt.Errorf("load %q: want used/limit", s)
 	}
 	return l, nil
--- a/frame/context.go
+++ b/frame/context.go
@@ -255,7 +255,8 @@
 		c.rank, err = strconv.Atoi(value)
 	case "left":
 		var ms int64
-		ms, err = strconv.ParseInt(value, 10, 64)
+		// 32 bits are far above the largest value and can't overflow a Duration.
+		ms, err = strconv.ParseInt(value, 10, 32)
 		c.timeLeft = time.Duration(ms) * time.Millisecond
 	case "tries":
 		c.permits, err = strconv.Atoi(value)
--- a/frame/level.go
+++ b/frame/level.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,14 +46,27 @@
 
 // ParseLevel parses the form that String writes.
 func ParseLevel(s string) (Level, error) {
-	var class, rank int
-	if _, err := fmt.Sscanf(s, "%d.%d", &class, &rank); err != nil {
+	class, rank, ok := parsePair(s, ".")
+	if !ok {
 		return 0, fmt.Errorf("level %q: want class.rank", s)
 	}
-	if class < 0 || class > MaxClass || rank < 0 || rank > MaxRank {
+	if class > MaxClass || rank > MaxRank {
 		return 0, fmt.Errorf("level %q: out of range", s)
 	}
-	return NewLevel(class, rank), nil
+	l := NewLevel(class, rank)
+	if l.String() != s {
+		return 0, fmt.Errorf("level %q: want class.rank", s)
+	}
+	return l, nil
+}
+
+// parsePair parses two integers of at least 0 with sep between them and nothing
+// after them.
+func parsePair(s, sep string) (first, second int, ok bool) {
+	a, b, _ := strings.Cut(s, sep)
+	first, err1 := strconv.Atoi(a)
+	second, err2 := strconv.Atoi(b)
+	return first, second, err1 == nil && err2 == nil && first >= 0 && second >= 0
 }
 
 // RankOf returns the rank of a root request at the given time; it depends on its
