--- a/mesh/disconnect_test.go
+++ b/mesh/disconnect_test.go
@@ -31,8 +31,10 @@
 	defer conn.Close()
 	ctx := peer.WithConn(context.Background(), conn)
 	run := func(id string) result {
-		c := &call{id: id, method: http.MethodGet, target: "/shop/x", host: host, header: http.Header{"X-Request-Id": {id}}, route: "r", service: "shop",
-			deadline: time.Now().Add(waitLimit)}
+		c := &call{
+			id: id, method: http.MethodGet, target: "/shop/x", host: host, header: http.Header{"X-Request-Id": {id}}, route: "r", service: "shop",
+			deadline: time.Now().Add(waitLimit),
+		}
 		return shop.node.localBackend.run(ctx, c, "i-shop")
 	}
 	require.Equal(t, frame.Answered, run("one").outcome)
