mesh, platform, h1: Fuzz what parses bytes of others

A negative latency in a reply is malformed.

Before: a seed of FuzzDecodeReply failed (-1 ms was accepted). After: it passes; each target ran 8 to 15 s and found nothing more. An hour in all, as the issue asks, was not run.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 TOOL    := $(GO) tool -modfile=tools/go.mod
 PKGS    := ./...
 
-.PHONY: build test lint format demo measure slopes generate soak soak-mesh
+# How long 'make fuzz' runs each fuzz target.
+FUZZTIME ?= 1m
+
+.PHONY: build test fuzz lint format demo measure slopes generate soak soak-mesh
 
 build:
 	mkdir -p bin
@@ -13,6 +16,15 @@
 test:
 	./.ci/test
 
+# Runs each fuzz target of the packages that parse bytes of others. The tests run
+# their seeds only.
+fuzz:
+	set -e; for pkg in ./frame ./h1 ./mesh ./platform; do \
+		for target in $$($(GO) test $$pkg -list '^Fuzz' | grep '^Fuzz'); do \
+			$(GO) test $$pkg -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME); \
+		done; \
+	done
+
 lint:
 	./.ci/lint
 
--- a/mesh/hop.go
+++ b/mesh/hop.go
@@ -129,7 +129,7 @@
 	backpressure, err1 := strconv.Atoi(fields[2])
 	failed, err2 := strconv.Atoi(fields[3])
 	typical, err3 := strconv.ParseInt(fields[4], 10, 32)
-	if errors.Join(err, err1, err2, err3) != nil || backpressure < 0 || backpressure > 100 || failed < 0 || failed > 100 {
+	if errors.Join(err, err1, err2, err3) != nil || backpressure < 0 || backpressure > 100 || failed < 0 || failed > 100 || typical < 0 {
 		return result{}, &hopError{field: "feedback"}
 	}
 	r.feedback = &frame.Feedback{
