--- a/mesh/call_test.go
+++ b/mesh/call_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -53,3 +55,38 @@
 	require.NoError(t, err)
 	require.Equal(t, "12345", string(text))
 }
+
+// Guards against a route without a timeout cutting off callers that state a longer
+// time than the default, and against a stated time that overflows.
+func TestTimeoutOf(t *testing.T) {
+	for _, tt := range []struct {
+		stated string
+		route  time.Duration
+		want   time.Duration
+	}{
+		{"", 0, defaultTimeout},
+		{"120000", 0, 2 * time.Minute},
+		{"1e300", 0, maxTimeout},
+		{"NaN", 0, defaultTimeout},
+		{"-1", time.Second, time.Second},
+		{"", time.Second, time.Second},
+		{"5000", time.Second, time.Second},
+		{"250.5", time.Second, 250500 * time.Microsecond},
+		{"0", time.Second, 0},
+	} {
+		h := http.Header{}
+		h.Set("X-Deadline-Ms", tt.stated)
+		require.Equal(t, tt.want, timeoutOf(h, tt.route), "%q %s", tt.stated, tt.route)
+	}
+}
+
+// Guards against the state of nodes that left the zone being kept for good.
+func TestDeleteTargets(t *testing.T) {
+	f := newFeeder(feederOptions{})
+	for _, addr := range []string{"a", "b", "c"} {
+		f.targets[addr] = &feedTarget{}
+	}
+	f.deleteTargets([]string{"a", "c"})
+	require.Len(t, f.targets, 2)
+	require.NotContains(t, f.targets, "b")
+}
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,12 +137,29 @@
 		if !f.opts.storeUp() {
 			continue
 		}
-		for _, addr := range f.opts.sync.zonePeers() {
+		addrs := f.opts.sync.zonePeers()
+		f.deleteTargets(addrs)
+		for _, addr := range addrs {
 			f.startFeed(ctx, addr)
 		}
 	}
 }
 
+// deleteTargets deletes the state of nodes that are not in addrs, because they
+// left the zone.
+func (f *feeder) deleteTargets(addrs []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.targets) <= len(addrs) {
+		return
+	}
+	for addr := range f.targets {
+		if !slices.Contains(addrs, addr) {
+			delete(f.targets, addr)
+		}
+	}
+}
+
 // startFeed feeds one node, or marks it for another feed if one is in progress.
 func (f *feeder) startFeed(ctx context.Context, addr string) {
 	f.mu.Lock()
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -183,20 +183,30 @@
 	c.deadline = stats.started.Add(timeoutOf(r.Header, match.Timeout))
 }
 
-// defaultTimeout replaces the timeout of a route that has none.
-const defaultTimeout = time.Minute
+const (
+	// defaultTimeout applies if neither the route nor the caller states one.
+	defaultTimeout = time.Minute
+	// maxTimeout bounds what a caller may state on a route without a timeout.
+	maxTimeout = time.Hour
+)
 
 // timeoutOf returns how long a request may take: the shorter of the caller's and
 // the route's timeout.
 func timeoutOf(h http.Header, timeout time.Duration) time.Duration {
-	d := defaultTimeout
-	if timeout > 0 {
-		d = timeout
+	ms, err := strconv.ParseFloat(h.Get(platform.HeaderDeadline), 64)
+	stated := err == nil && ms >= 0
+	switch {
+	case timeout <= 0 && !stated:
+		return defaultTimeout
+	case timeout <= 0:
+		timeout = maxTimeout
+	case !stated:
+		return timeout
 	}
-	if ms, err := strconv.ParseFloat(h.Get(platform.HeaderDeadline), 64); err == nil && ms >= 0 {
-		d = min(d, time.Duration(ms*float64(time.Millisecond)))
+	if ms >= float64(timeout.Milliseconds()) {
+		return timeout
 	}
-	return d
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 func headerBytes(r *http.Request) int {
--- a/node/run.go
+++ b/node/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"sync"
@@ -143,11 +144,11 @@
 	select {
 	case <-n.gate.Drained():
 	case <-ctx.Done():
-		stopErr = eris.New("calls at the backend server did not finish before the drain timeout")
+		stopErr = errors.Join(stopErr, eris.New("calls at the backend server did not finish before the drain timeout"))
 	}
 	for _, l := range []*peer.Listener{callListener, outboundListener, operatorListener} {
-		if err := l.Stop(ctx, n.clock); err != nil && stopErr == nil {
-			stopErr = eris.Wrapf(err, "close %s", l.Name())
+		if err := l.Stop(ctx, n.clock); err != nil {
+			stopErr = errors.Join(stopErr, eris.Wrapf(err, "close %s", l.Name()))
 		}
 	}
 	n.peerClient.Close()
--- a/trial/soak_documents.go
+++ b/trial/soak_documents.go
@@ -21,8 +21,6 @@
 	burstChanges int // guarded by soak.mu instead
 	// upSince is when the platform recovered last; zero while it is down or stale.
 	upSince time.Time
-	// lastPublished is the time of the last publication.
-	lastPublished time.Time
 }
 
 // init reads the revisions published by the start of the fleet.
@@ -64,7 +62,6 @@
 	err := s.fleet.Publish(ctx, fmt.Sprintf("%s?revision=%d", key, rev), body)
 	s.docs.mu.Lock()
 	defer s.docs.mu.Unlock()
-	s.docs.lastPublished = time.Now()
 	return err
 }
 
