--- a/h1/client.go
+++ b/h1/client.go
@@ -21,9 +21,9 @@
 	// maxHeadBytes limits the status line and header of a response, together with
 	// the interim (1xx) responses before it, up to one read buffer more.
 	maxHeadBytes = 64 << 10
-	// MaxBodyBytes limits the body of a response. It is the largest body that the
+	// maxBodyBytes limits the body of a response. It is the largest body that the
 	// users' platform allows.
-	MaxBodyBytes = 64 << 20
+	maxBodyBytes = 64 << 20
 	// maxSkippedResponses limits the discarded responses to other requests.
 	maxSkippedResponses = 3
 	// maxSkippedBody limits the body of a discarded response, in bytes.
@@ -42,7 +42,7 @@
 	errOtherRequest = errors.New("response to another request")
 	// errHeadTooLarge reports a response whose head exceeds maxHeadBytes.
 	errHeadTooLarge = errors.New("head of the response is too large")
-	// errBodyTooLarge reports a response whose body exceeds MaxBodyBytes.
+	// errBodyTooLarge reports a response whose body exceeds maxBodyBytes.
 	errBodyTooLarge = errors.New("body of the response is too large")
 )
 
@@ -315,14 +315,14 @@
 	exchange *exchange
 	framed   io.ReadCloser
 	ended    bool
-	// length is the number of bytes read, at most MaxBodyBytes.
+	// length is the number of bytes read, at most maxBodyBytes.
 	length int64
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.framed.Read(p)
 	b.length += int64(n)
-	if b.length > MaxBodyBytes {
+	if b.length > maxBodyBytes {
 		n, err = 0, errBodyTooLarge
 	}
 	if err != nil && !b.ended {
--- a/h1/endless_test.go
+++ b/h1/endless_test.go
@@ -117,7 +117,7 @@
 			s.waitClosed(t)
 			limit := int64(maxEndlessBytes)
 			if text["large"] != "" {
-				limit = MaxBodyBytes + maxEndlessBytes
+				limit = maxBodyBytes + maxEndlessBytes
 			}
 			require.LessOrEqual(t, read.Load(), limit)
 		})
