catalog, mesh: Announce a list only once this node acts on it

A view gives its new revision to peers before ServersChanged has run, and applyServers sets the local backend server last. A peer that learned in between that the server no longer drains sent its request and got "not run, draining", and avoided the server for 100 ms. Change: View.WaitInForce; updateFor waits for it before it returns what goes to a peer, in a feed or a view response. The test prints both logs. Conclusion: a short race in the product, seen on a slow machine.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -94,6 +94,13 @@
 	return v.rev
 }
 
+// WaitInForce waits until the callbacks for all changes made so far have returned.
+// Callbacks must not call it.
+func (v *View) WaitInForce() {
+	v.notifyMu.Lock()
+	defer v.notifyMu.Unlock()
+}
+
 // Ages returns how long ago the configuration and the server list were confirmed.
 func (v *View) Ages() (config, list time.Duration) {
 	v.mu.RLock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -408,7 +408,7 @@
 		return ok && !vm.Leaving()
 	}, waitLimit, time.Millisecond, "the other node reads changes slowly after its start")
 	require.False(t, shop.node.follower.Connected(), "it got its state from its peers")
-	require.Equal(t, http.StatusOK, shop.send(callerRequest{path: "/y/", id: "b"}).status)
+	require.Equal(t, http.StatusOK, shop.send(callerRequest{path: "/y/", id: "b"}).status, "node:\n%s\nother node:\n%s", shop.log, one.log)
 }
 
 // Guards against a graceful shutdown aborting requests, and against a stopping
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -194,8 +194,11 @@
 	}
 }
 
-// updateFor returns what is newer at this node than at the requesting one.
+// updateFor returns what is newer at this node than at the requesting one. It
+// waits until this node acts on all of that: a peer that learned first that the
+// local backend server is back would have its requests refused.
 func (s *syncer) updateFor(r peer.ViewRequest) peer.Update {
+	defer s.opts.view.WaitInForce()
 	update := peer.Update{Version: s.opts.view.ConfigVersion(), Rev: s.opts.view.Rev()}
 	if c := s.opts.view.Config(); c != nil && c.Version() > r.Version {
 		d := c.Document()
