mesh, catalog, platform: Start a node from stale reads and its peers (try)

Change tried: a stale read (a tenth of the price) finds the peers, one of the zone sends the state, and only the readers read in full; a full read is one call instead of two; failed calls of nodes that are not readers pause for up to 4 s; a reader that has just started leaves reading to those that feed it. Ruled out: late entries of new servers (half of the nodes have each within 0.2 s in all variants).

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -17,10 +17,10 @@
 	// batchDelay is the pause after a change, so that one call returns the
 	// changes of a burst. It delays only changes that follow another one.
 	batchDelay = 100 * time.Millisecond
-	// startupBatchDelay replaces batchDelay for startupPeriod after the first
-	// read. When a fleet starts, its servers register one by one, and every node
-	// reads the store until the list contains the other nodes of its zone.
-	startupBatchDelay = 600 * time.Millisecond
+	// startupBatchDelay replaces batchDelay for startupPeriod after the first call.
+	// When a fleet starts, its servers register one by one. It is short enough for
+	// a fleet that has lost power and serves as soon as its list is up to date.
+	startupBatchDelay = 200 * time.Millisecond
 	startupPeriod     = 3 * time.Second
 	// stuckWatchDelay is how long a watch may lack a change that peers have
 	// before its connection counts as broken, stuckWatchCheckInterval how often
@@ -29,10 +29,8 @@
 	stuckWatchCheckInterval = 200 * time.Millisecond
 	// readCheckInterval is how often ShouldRead is checked while it is false.
 	readCheckInterval = 50 * time.Millisecond
-	// initialRetryDelay and maxRetryDelay bound the backoff after failed calls,
-	// before jitter.
+	// initialRetryDelay is the pause after the first failed call, before jitter.
 	initialRetryDelay = 150 * time.Millisecond
-	maxRetryDelay     = time.Second
 )
 
 // ErrCompacted reports that the store no longer has the history that a watch
@@ -46,16 +44,16 @@
 type FollowerOptions struct {
 	Clock clockwork.Clock
 	View  *View
-	// ReadConfig returns the configuration, nil without an error if there is none
-	// yet.
-	ReadConfig func(ctx context.Context) (*Config, error)
-	// ListServers returns all backend servers.
-	ListServers func(ctx context.Context) (Listing, error)
+	// Read returns all backend servers and the configuration, nil if there is none
+	// yet. The configuration is not older than the revision of the listing.
+	Read func(ctx context.Context) (Listing, *Config, error)
 	// Watch waits up to wait for a change after a revision. It returns the
 	// changes and the revision up to which they are complete, or ErrCompacted.
 	Watch func(ctx context.Context, after uint64, wait time.Duration) ([]Event, uint64, error)
 	// ShouldRead reports whether this node should read the store now.
 	ShouldRead func() bool
+	// MaxRetryDelay returns the longest pause after failed calls, before jitter.
+	MaxRetryDelay func() time.Duration
 	// ConnectionChanged is called with the error when the connection to the store
 	// is lost, and with nil when it is established.
 	ConnectionChanged func(err error)
@@ -67,10 +65,10 @@
 type Follower struct {
 	opts      FollowerOptions
 	connected atomic.Bool
-	// storeLost is set if a call failed since the last successful one. Only Run
-	// accesses it and firstReadAt.
+	// storeLost is set if a call failed since the last successful one, and no peer
+	// has replaced this node as a reader since. Only Run accesses it and firstReadAt.
 	storeLost bool
-	// firstReadAt is when the state was first read; zero before.
+	// firstReadAt is when a call first succeeded; zero before.
 	firstReadAt time.Time
 }
 
@@ -86,24 +84,27 @@
 // while this node does not read the store.
 func (f *Follower) Connected() bool { return f.connected.Load() }
 
-// Run reads the store and follows its changes until ctx is done.
+// Run reads the store and follows its changes until ctx is done. It reads the
+// complete state only if no peer has sent it, or if the store no longer has the
+// changes after it.
 func (f *Follower) Run(ctx context.Context) {
-	haveList := f.opts.View.Rev() > 0
+	compacted := false
 	failures := 0
 	for ctx.Err() == nil {
 		if !f.opts.ShouldRead() {
 			f.connected.Store(false)
+			// The nodes that read the store instead report the end of an outage.
+			f.storeLost = false
 			f.sleep(ctx, readCheckInterval)
 			continue
 		}
 		var err error
-		if !haveList {
+		if compacted || f.opts.View.Rev() == 0 {
 			err = f.readAll(ctx)
-			haveList = err == nil
 		} else {
 			err = f.watchOnce(ctx)
-			haveList = !errors.Is(err, ErrCompacted)
 		}
+		compacted = errors.Is(err, ErrCompacted) || compacted && err != nil
 		if err == nil || errors.Is(err, ErrCompacted) {
 			failures = 0
 			continue
@@ -118,21 +119,12 @@
 	}
 }
 
-// readAll reads the complete state. The configuration is read last, so that it
-// is not older than the list.
 func (f *Follower) readAll(ctx context.Context) error {
-	l, err := f.opts.ListServers(ctx)
-	if err != nil {
-		return err
-	}
-	c, err := f.opts.ReadConfig(ctx)
+	l, c, err := f.opts.Read(ctx)
 	if err != nil {
 		return err
 	}
 	f.markConnected()
-	if f.firstReadAt.IsZero() {
-		f.firstReadAt = f.opts.Clock.Now()
-	}
 	if c != nil {
 		f.opts.View.ApplyConfig(c)
 	}
@@ -179,6 +171,9 @@
 }
 
 func (f *Follower) markConnected() {
+	if f.firstReadAt.IsZero() {
+		f.firstReadAt = f.opts.Clock.Now()
+	}
 	if f.connected.Swap(true) {
 		return
 	}
@@ -200,7 +195,7 @@
 func (f *Follower) backOff(ctx context.Context, failures int) {
 	d := initialRetryDelay
 	for range failures {
-		d = min(2*d, maxRetryDelay)
+		d = min(2*d, f.opts.MaxRetryDelay())
 	}
 	d = d/2 + time.Duration(f.opts.Random()*float64(d)/2)
 	f.sleep(ctx, d)
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -47,16 +47,13 @@
 	var connected []bool
 	f := NewFollower(FollowerOptions{
 		Clock: clock, View: v, Random: func() float64 { return 0 }, ShouldRead: func() bool { return true },
-		ReadConfig: func(context.Context) (*Config, error) {
-			st := s.next("config")
+		MaxRetryDelay: func() time.Duration { return time.Second },
+		Read: func(context.Context) (Listing, *Config, error) {
+			st := s.next("read")
 			if st.rev == 0 {
-				return nil, st.err
+				return st.list, nil, st.err
 			}
-			return NewConfig(Document{Version: st.rev}), st.err
-		},
-		ListServers: func(context.Context) (Listing, error) {
-			st := s.next("list")
-			return st.list, st.err
+			return st.list, NewConfig(Document{Version: st.rev}), st.err
 		},
 		Watch: func(_ context.Context, _ uint64, _ time.Duration) ([]Event, uint64, error) {
 			st := s.next("watch")
@@ -76,14 +73,12 @@
 	changed := newTestServer("a", 12)
 	changed.Draining = true
 	_, connected := runFollower(t, clock, v, []step{
-		{call: "list", err: errors.New("down")},
-		{call: "list", list: Listing{Rev: 10, Servers: []Server{newTestServer("a", 3), newTestServer("b", 4)}}},
-		{call: "config", rev: 1},
+		{call: "read", err: errors.New("down")},
+		{call: "read", rev: 1, list: Listing{Rev: 10, Servers: []Server{newTestServer("a", 3), newTestServer("b", 4)}}},
 		{call: "watch", rev: 10},
 		{call: "watch", rev: 12, events: []Event{{Server: &changed, Rev: 12}, {Config: NewConfig(Document{Version: 2}), Rev: 11}}},
 		{call: "watch", err: ErrCompacted},
-		{call: "list", list: Listing{Rev: 20, Servers: []Server{changed}}},
-		{call: "config", rev: 3},
+		{call: "read", rev: 3, list: Listing{Rev: 20, Servers: []Server{changed}}},
 		{call: "watch", err: errors.New("down")},
 		{call: "watch", rev: 20},
 	})
@@ -100,8 +95,7 @@
 	var serverCount int
 	v := NewView(ViewOptions{Clock: clock, ServersChanged: func(s []Server) { serverCount = len(s) }})
 	runFollower(t, clock, v, []step{
-		{call: "list", list: Listing{Rev: 10, Servers: []Server{newTestServer("a", 3)}}},
-		{call: "config", rev: 1},
+		{call: "read", rev: 1, list: Listing{Rev: 10, Servers: []Server{newTestServer("a", 3)}}},
 		{call: "watch", err: errors.New("down")},
 		{call: "watch", rev: 15, events: []Event{{Removed: "a", Rev: 14}}},
 	})
@@ -117,8 +111,8 @@
 	var watched []time.Time
 	f := NewFollower(FollowerOptions{
 		Clock: clock, View: NewView(ViewOptions{Clock: clock}), ShouldRead: func() bool { return true },
-		ReadConfig:  func(context.Context) (*Config, error) { return nil, nil },
-		ListServers: func(context.Context) (Listing, error) { return Listing{Rev: 1}, nil },
+		MaxRetryDelay: func() time.Duration { return time.Second },
+		Read:          func(context.Context) (Listing, *Config, error) { return Listing{Rev: 1}, nil, nil },
 		Watch: func(_ context.Context, after uint64, _ time.Duration) ([]Event, uint64, error) {
 			watched = append(watched, clock.Now())
 			if len(watched) == 3 {
@@ -148,6 +142,7 @@
 	watches := 0
 	f := NewFollower(FollowerOptions{
 		Clock: clock, View: v, Random: func() float64 { return 0 }, ShouldRead: func() bool { return true },
+		MaxRetryDelay: func() time.Duration { return time.Second },
 		Watch: func(ctx context.Context, _ uint64, _ time.Duration) ([]Event, uint64, error) {
 			watches++
 			if watches == 1 {
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -26,6 +26,14 @@
 	feedTimeout     = 900 * time.Millisecond
 	feedTimeoutStep = 100 * time.Millisecond
 	maxFeedTimeout  = 1300 * time.Millisecond
+	// startPeriod is how long after its discovery a node counts as just started. A
+	// reader reads then only if it was not fed for startFeedTimeout.
+	startPeriod      = 2 * time.Second
+	startFeedTimeout = feedInterval + 100*time.Millisecond
+	// readerRetryDelay is the longest pause of a reader after failed calls to the
+	// store, otherRetryDelay that of the other nodes.
+	readerRetryDelay = time.Second
+	otherRetryDelay  = 4 * time.Second
 )
 
 // feederOptions configures a feeder. All fields are required.
@@ -37,6 +45,9 @@
 	selfAddr string
 	// storeUp reports whether the store responds to this node.
 	storeUp func() bool
+	// sinceDiscovery returns the time since this node's discovery of its peers
+	// finished, and false if it has not.
+	sinceDiscovery func() (time.Duration, bool)
 	// sendFeed sends one feed and returns the receiver's versions after it.
 	sendFeed func(ctx context.Context, addr string, f peer.Feed) (peer.ViewRequest, error)
 }
@@ -92,17 +103,30 @@
 }
 
 // shouldRead reports whether this node reads the store: as one of the readers of
-// its zone, without a list, or if it was not fed for its timeout.
+// its zone, or if it was not fed for its timeout. A reader that has just started
+// does not read while another node feeds it, because it may not know yet who the
+// readers are.
 func (f *feeder) shouldRead() bool {
-	if f.opts.sync.opts.view.Rev() == 0 {
-		return true
+	started, ok := f.opts.sinceDiscovery()
+	if !ok {
+		return false
 	}
+	unfed := f.sinceLastFeed()
 	rank := f.readerRank()
 	if rank < zoneReaders {
-		return true
+		return started > startPeriod || unfed > startFeedTimeout
 	}
 	timeout := min(feedTimeout+time.Duration(rank-zoneReaders)*feedTimeoutStep, maxFeedTimeout)
-	return f.sinceLastFeed() > timeout
+	return min(started, unfed) > timeout
+}
+
+// maxRetryDelay returns the longest pause after failed calls to the store. Only
+// the readers look often whether it is back.
+func (f *feeder) maxRetryDelay() time.Duration {
+	if f.readerRank() < zoneReaders {
+		return readerRetryDelay
+	}
+	return otherRetryDelay
 }
 
 // sinceLastFeed returns the time since a reader last fed this node.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -150,6 +150,14 @@
 	}
 }
 
+// exchangeInZone exchanges state with a random peer of this node's zone, if there
+// are any: bytes between zones are expensive, and the state may be large.
+func (s *syncer) exchangeInZone(ctx context.Context) {
+	if addrs := s.zonePeers(); len(addrs) > 0 {
+		s.exchange(ctx, addrs[s.opts.randomIntN(len(addrs))])
+	}
+}
+
 // exchange requests an update from one node and applies what is newer.
 func (s *syncer) exchange(ctx context.Context, addr string) {
 	update, err := s.opts.requestView(ctx, addr, s.viewRequest())
@@ -199,25 +207,32 @@
 // local backend server is back would have its requests refused.
 func (s *syncer) updateFor(r peer.ViewRequest) peer.Update {
 	defer s.opts.view.WaitInForce()
-	update := peer.Update{Version: s.opts.view.ConfigVersion(), Rev: s.opts.view.Rev()}
+	update := peer.Update{Rev: s.opts.view.Rev()}
+	if update.Rev > r.Rev {
+		s.addListChanges(&update, r.Rev)
+	}
+	// The configuration is read last: the receiver follows the store from the
+	// list's revision and would miss a configuration before it.
+	update.Version = s.opts.view.ConfigVersion()
 	if c := s.opts.view.Config(); c != nil && c.Version() > r.Version {
 		d := c.Document()
 		update.Config = &d
 	}
-	if update.Rev <= r.Rev {
-		return update
-	}
+	return update
+}
+
+// addListChanges adds the changes of the list after a revision to the update, or
+// the whole list if they are not known.
+func (s *syncer) addListChanges(update *peer.Update, rev uint64) {
 	if ago, ok := s.opts.view.SinceStoreReturn(); ok && ago < storeReturnWindow {
 		update.SinceStoreRecovery = max(ago, 1)
 	}
-	changes, ok := s.opts.view.ChangesSince(r.Rev)
-	if ok && r.Rev > 0 {
-		update.BaseRev, update.Changes = r.Rev, changes
-		return update
+	if changes, ok := s.opts.view.ChangesSince(rev); ok && rev > 0 {
+		update.BaseRev, update.Changes = rev, changes
+		return
 	}
 	l := s.opts.view.Listing()
 	update.List, update.Rev = &l, l.Rev
-	return update
 }
 
 // handleView responds to another node, and requests an update if it is ahead.
