catalog, mesh, platform: Call the store less when a fleet starts or the store is away

At a start every node read the list and the configuration in two calls, then watched until it knew its zone, and each of these watches returned for every batch of new entries. While the store turned machines away, each of them asked again about once a second.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -18,17 +18,19 @@
 	// changes of a burst. It delays only changes that follow another one.
 	batchDelay = 100 * time.Millisecond
 	// startupBatchDelay replaces batchDelay for startupPeriod after the first call.
-	// When a fleet starts, its servers register one by one. It is short enough for
-	// a fleet that has lost power and serves as soon as its list is up to date.
-	startupBatchDelay = 200 * time.Millisecond
+	// When a fleet starts, its servers register one by one. The pauses of different
+	// nodes do not coincide, and what one of them reads the others get from it.
+	startupBatchDelay = 600 * time.Millisecond
 	startupPeriod     = 3 * time.Second
 	// stuckWatchDelay is how long a watch may lack a change that peers have
 	// before its connection counts as broken, stuckWatchCheckInterval how often
 	// that is checked.
 	stuckWatchDelay         = 400 * time.Millisecond
 	stuckWatchCheckInterval = 200 * time.Millisecond
-	// readCheckInterval is how often ShouldRead is checked while it is false.
+	// readCheckInterval is how often the mode is checked while it is ReadNone.
 	readCheckInterval = 50 * time.Millisecond
+	// staleReadInterval is the time between two stale reads.
+	staleReadInterval = 250 * time.Millisecond
 	// initialRetryDelay is the pause after the first failed call, before jitter.
 	initialRetryDelay = 150 * time.Millisecond
 )
@@ -40,18 +42,31 @@
 // errStuckWatch reports that a watch lacks a change that peers have.
 var errStuckWatch = errors.New("watch did not return a change that peers have")
 
+// ReadMode is how a node reads the store.
+type ReadMode int
+
+const (
+	// ReadNone leaves the reading to other nodes.
+	ReadNone ReadMode = iota
+	// ReadStale reads the complete state now and then, which may be seconds old.
+	ReadStale
+	// ReadFresh watches the store.
+	ReadFresh
+)
+
 // FollowerOptions configures a Follower. All fields but Random are required.
 type FollowerOptions struct {
 	Clock clockwork.Clock
 	View  *View
 	// Read returns all backend servers and the configuration, nil if there is none
-	// yet. The configuration is not older than the revision of the listing.
-	Read func(ctx context.Context) (Listing, *Config, error)
+	// yet. The configuration is not older than the revision of the listing. A
+	// stale read may return a state of some seconds ago.
+	Read func(ctx context.Context, stale bool) (Listing, *Config, error)
 	// Watch waits up to wait for a change after a revision. It returns the
 	// changes and the revision up to which they are complete, or ErrCompacted.
 	Watch func(ctx context.Context, after uint64, wait time.Duration) ([]Event, uint64, error)
-	// ShouldRead reports whether this node should read the store now.
-	ShouldRead func() bool
+	// Mode returns how this node should read the store now.
+	Mode func() ReadMode
 	// MaxRetryDelay returns the longest pause after failed calls, before jitter.
 	MaxRetryDelay func() time.Duration
 	// ConnectionChanged is called with the error when the connection to the store
@@ -81,7 +96,7 @@
 }
 
 // Connected reports whether the last call to the store succeeded. It is false
-// while this node does not read the store.
+// while this node does not watch the store.
 func (f *Follower) Connected() bool { return f.connected.Load() }
 
 // Run reads the store and follows its changes until ctx is done. It reads the
@@ -91,11 +106,12 @@
 	compacted := false
 	failures := 0
 	for ctx.Err() == nil {
-		if !f.opts.ShouldRead() {
+		mode := f.opts.Mode()
+		if mode != ReadFresh {
 			f.connected.Store(false)
-			// The nodes that read the store instead report the end of an outage.
+			// The nodes that watch the store instead report the end of an outage.
 			f.storeLost = false
-			f.sleep(ctx, readCheckInterval)
+			f.readStale(ctx, mode)
 			continue
 		}
 		var err error
@@ -119,17 +135,35 @@
 	}
 }
 
+// readStale makes a stale read if the mode requires it, and pauses. A failed one
+// is not repeated before the next interval.
+func (f *Follower) readStale(ctx context.Context, mode ReadMode) {
+	if mode == ReadNone {
+		f.sleep(ctx, readCheckInterval)
+		return
+	}
+	if l, c, err := f.opts.Read(ctx, true); err == nil {
+		f.apply(l, c)
+	}
+	f.sleep(ctx, staleReadInterval)
+}
+
 func (f *Follower) readAll(ctx context.Context) error {
-	l, c, err := f.opts.Read(ctx)
+	l, c, err := f.opts.Read(ctx, false)
 	if err != nil {
 		return err
 	}
 	f.markConnected()
+	f.apply(l, c)
+	return nil
+}
+
+// apply applies what is newer than the view.
+func (f *Follower) apply(l Listing, c *Config) {
 	if c != nil {
 		f.opts.View.ApplyConfig(c)
 	}
 	f.opts.View.ReplaceServers(l)
-	return nil
 }
 
 func (f *Follower) watchOnce(ctx context.Context) error {
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"dogwoodhead/catalog"
 	"dogwoodhead/peer"
 )
 
@@ -26,10 +27,13 @@
 	feedTimeout     = 900 * time.Millisecond
 	feedTimeoutStep = 100 * time.Millisecond
 	maxFeedTimeout  = 1300 * time.Millisecond
-	// startPeriod is how long after its discovery a node counts as just started. A
-	// reader reads then only if it was not fed for startFeedTimeout.
-	startPeriod      = 2 * time.Second
+	// startPeriod is how long after its start a node counts as just started. It
+	// watches the store then only if it was not fed for startFeedTimeout.
+	startPeriod      = 4 * time.Second
 	startFeedTimeout = feedInterval + 100*time.Millisecond
+	// startWatchersDivisor sets the fraction of the nodes that watch the store before
+	// their backend servers are listed.
+	startWatchersDivisor = 8
 	// readerRetryDelay is the longest pause of a reader after failed calls to the
 	// store, otherRetryDelay that of the other nodes.
 	readerRetryDelay = time.Second
@@ -45,9 +49,8 @@
 	selfAddr string
 	// storeUp reports whether the store responds to this node.
 	storeUp func() bool
-	// sinceDiscovery returns the time since this node's discovery of its peers
-	// finished, and false if it has not.
-	sinceDiscovery func() (time.Duration, bool)
+	// listed reports whether the local backend server is listed.
+	listed func() bool
 	// sendFeed sends one feed and returns the receiver's versions after it.
 	sendFeed func(ctx context.Context, addr string, f peer.Feed) (peer.ViewRequest, error)
 }
@@ -60,6 +63,8 @@
 	opts feederOptions
 	// pending holds at most one signal that there is something to feed.
 	pending chan struct{}
+	// startedAt is when the node started.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// lastFed is when a reader last fed this node.
@@ -79,7 +84,7 @@
 }
 
 func newFeeder(opts feederOptions) *feeder {
-	return &feeder{opts: opts, pending: make(chan struct{}, 1), targets: make(map[string]*feedTarget)}
+	return &feeder{opts: opts, startedAt: opts.clock.Now(), pending: make(chan struct{}, 1), targets: make(map[string]*feedTarget)}
 }
 
 // notify signals that there is something to feed.
@@ -102,22 +107,34 @@
 	return rank
 }
 
-// shouldRead reports whether this node reads the store: as one of the readers of
-// its zone, or if it was not fed for its timeout. A reader that has just started
-// does not read while another node feeds it, because it may not know yet who the
-// readers are.
-func (f *feeder) shouldRead() bool {
-	started, ok := f.opts.sinceDiscovery()
-	if !ok {
-		return false
+// readMode returns how this node reads the store: it watches the store as one of
+// the readers of its zone, without a list, or if it was not fed for its timeout.
+//
+// A node that has just started may not know yet who the readers are. It does not
+// watch while another node feeds it, and most nodes make stale reads until the
+// local backend server is listed: when a fleet starts, the servers are listed one
+// by one, and a watch by every node would return for each of them.
+func (f *feeder) readMode() catalog.ReadMode {
+	if f.opts.sync.opts.view.Rev() == 0 {
+		return catalog.ReadFresh
 	}
-	unfed := f.sinceLastFeed()
+	started, unfed := f.opts.clock.Since(f.startedAt), f.sinceLastFeed()
 	rank := f.readerRank()
-	if rank < zoneReaders {
-		return started > startPeriod || unfed > startFeedTimeout
-	}
 	timeout := min(feedTimeout+time.Duration(rank-zoneReaders)*feedTimeoutStep, maxFeedTimeout)
-	return min(started, unfed) > timeout
+	watches := rank < zoneReaders || min(started, unfed) > timeout
+	switch {
+	case started <= startPeriod && !f.opts.listed() && !f.startsAsWatcher():
+		return catalog.ReadStale
+	case started <= startPeriod && unfed <= startFeedTimeout, !watches:
+		return catalog.ReadNone
+	}
+	return catalog.ReadFresh
+}
+
+// startsAsWatcher reports whether this node watches the store before the local
+// backend server is listed, so that some nodes of a fleet do.
+func (f *feeder) startsAsWatcher() bool {
+	return xxhash.Sum64String(f.opts.selfAddr)%startWatchersDivisor == 0
 }
 
 // maxRetryDelay returns the longest pause after failed calls to the store. Only
--- /dev/null
+++ b/mesh/feed_test.go
@@ -0,0 +1,84 @@
+package mesh
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/catalog"
+	"dogwoodhead/peer"
+)
+
+// Guards against all nodes of a zone reading the store, and against none reading
+// it: while it starts, after the loss of a reader, and while the store is away.
+func TestReadMode(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	view := catalog.NewView(catalog.ViewOptions{Clock: clock})
+	var listed bool
+	newZoneFeeder := func(self string) *feeder {
+		s := newSyncer(syncerOptions{clock: clock, view: view, selfAddr: self, port: 1, zone: "z"})
+		s.updatePeers([]catalog.Server{
+			{Addr: "10.0.0.1:80", Zone: "z"},
+			{Addr: "10.0.0.2:80", Zone: "z"},
+			{Addr: "10.0.0.3:80", Zone: "z"},
+			{Addr: "10.0.0.4:80", Zone: "other"},
+		})
+		return newFeeder(feederOptions{clock: clock, sync: s, selfAddr: self, listed: func() bool { return listed }})
+	}
+	var readers, others []*feeder
+	for _, addr := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
+		if f := newZoneFeeder(addr); f.readerRank() < zoneReaders {
+			readers = append(readers, f)
+		} else {
+			others = append(others, f)
+		}
+	}
+	require.Len(t, readers, zoneReaders)
+	require.Len(t, others, 1)
+	check := func(mode, otherMode catalog.ReadMode, why string) {
+		t.Helper()
+		require.Equal(t, mode, readers[0].readMode(), why)
+		require.Equal(t, otherMode, others[0].readMode(), why)
+	}
+	check(catalog.ReadFresh, catalog.ReadFresh, "no node has a list")
+	view.ReplaceServers(catalog.Listing{Rev: 1})
+	for _, f := range []*feeder{readers[0], others[0]} {
+		want := catalog.ReadStale
+		if f.startsAsWatcher() {
+			want = catalog.ReadFresh
+		}
+		require.Equal(t, want, f.readMode(), "the local backend server is not listed")
+	}
+	listed = true
+	check(catalog.ReadFresh, catalog.ReadNone, "the others wait for a feed of the readers")
+	clock.Advance(maxFeedTimeout + time.Millisecond)
+	check(catalog.ReadFresh, catalog.ReadFresh, "the readers do not feed the zone")
+	feed := func() {
+		for _, f := range []*feeder{readers[0], others[0]} {
+			_, err := f.handleFeed(context.Background(), peer.Feed{})
+			require.NoError(t, err)
+		}
+	}
+	feed()
+	check(catalog.ReadNone, catalog.ReadNone, "another node feeds the zone")
+	clock.Advance(startPeriod - maxFeedTimeout)
+	feed()
+	check(catalog.ReadFresh, catalog.ReadNone, "a reader reads although another node feeds it")
+	clock.Advance(maxFeedTimeout + time.Millisecond)
+	check(catalog.ReadFresh, catalog.ReadFresh, "the feeds have ended")
+	require.Less(t, readers[0].maxRetryDelay(), others[0].maxRetryDelay())
+}
+
+// Guards against the state of nodes that left the zone being kept for good.
+func TestDeleteTargets(t *testing.T) {
+	f := newFeeder(feederOptions{clock: clockwork.NewFakeClock()})
+	for _, addr := range []string{"a", "b", "c"} {
+		f.targets[addr] = &feedTarget{}
+	}
+	f.deleteTargets([]string{"a", "c"})
+	require.Len(t, f.targets, 2)
+	require.NotContains(t, f.targets, "b")
+}
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -66,7 +66,6 @@
 		}
 	})
 	wg.Go(func() { n.controlClient.Run(workCtx) })
-	wg.Go(func() { n.discovery.run(workCtx) })
 	wg.Go(func() { n.follower.Run(workCtx) })
 	wg.Go(func() { n.syncer.run(workCtx) })
 	wg.Go(func() { n.feeder.run(workCtx) })
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -150,14 +150,6 @@
 	}
 }
 
-// exchangeInZone exchanges state with a random peer of this node's zone, if there
-// are any: bytes between zones are expensive, and the state may be large.
-func (s *syncer) exchangeInZone(ctx context.Context) {
-	if addrs := s.zonePeers(); len(addrs) > 0 {
-		s.exchange(ctx, addrs[s.opts.randomIntN(len(addrs))])
-	}
-}
-
 // exchange requests an update from one node and applies what is newer.
 func (s *syncer) exchange(ctx context.Context, addr string) {
 	update, err := s.opts.requestView(ctx, addr, s.viewRequest())
