catalog, mesh: Use no server that another one has replaced at its address

Half of the attempts went to dead ones. A node that had seen the old entry as its own refused them ("draining", asked again for free); one that saw both at once passed them to the new server, whose 421 needs a retry permit: most requests ended there. Change: catalog.SplitReplaced. Of the servers at one address only the one whose entry was written last is used; the revision decides, since clocks may be set back. A node refuses requests for all replaced servers at its address. The test of a reused address now runs with both orders of the entries; it waits on the view, because the board no longer holds the replaced one.

--- a/catalog/server.go
+++ b/catalog/server.go
@@ -52,3 +52,21 @@
 	// Rev is the store revision of the list.
 	Rev uint64 `json:"rev"`
 }
+
+// SplitReplaced separates the servers that were replaced: of several servers at
+// one address, only the one whose entry was written last can be alive. The entries
+// of the others have not expired yet.
+func SplitReplaced(servers []Server) (current, replaced []Server) {
+	newest := make(map[string]uint64, len(servers))
+	for _, s := range servers {
+		newest[s.Addr] = max(newest[s.Addr], s.Rev)
+	}
+	for _, s := range servers {
+		if s.Rev == newest[s.Addr] {
+			current = append(current, s)
+		} else {
+			replaced = append(replaced, s)
+		}
+	}
+	return current, replaced
+}
--- a/catalog/view_test.go
+++ b/catalog/view_test.go
@@ -164,3 +164,15 @@
 	require.Equal(t, time.Second, config)
 	require.Zero(t, list)
 }
+
+// Guards against a server that was replaced at its address being used until its
+// entry expires, and against its successor being taken for the older one.
+func TestSplitReplaced(t *testing.T) {
+	old, successor, other := newTestServer("old", 3), newTestServer("new", 9), newTestServer("other", 5)
+	old.Addr, successor.Addr, other.Addr = "10.0.0.1:80", "10.0.0.1:80", "10.0.0.2:80"
+	// The clock of the VM was set back between the two.
+	old.StartedMillis, successor.StartedMillis = 2000, 1000
+	current, replaced := SplitReplaced([]Server{other, old, successor})
+	require.Equal(t, []Server{other, successor}, current)
+	require.Equal(t, []Server{old}, replaced)
+}
--- a/mesh/localbackend.go
+++ b/mesh/localbackend.go
@@ -44,8 +44,11 @@
 	opts localBackendOptions
 	// server is the backend server's entry in the list, nil while it is not listed.
 	server atomic.Pointer[catalog.Server]
-	// removedID is the id of the server entry that was replaced or removed last.
-	removedID atomic.Pointer[string]
+	// goneIDs holds the ids of earlier backend servers at the address: those whose
+	// entries have not expired, and the one whose entry was in use before. Only
+	// setServer accesses lastID, the id of the latter.
+	goneIDs atomic.Pointer[map[string]bool]
+	lastID  string
 
 	health *health
 	// childBackpressure holds what the child requests of each route report.
@@ -169,17 +172,23 @@
 	if local := b.server.Load(); local != nil && local.ID == instance {
 		return refused(frame.ReasonDraining, "the backend server is draining"), local.Draining
 	}
-	removed := b.removedID.Load()
-	return refused(frame.ReasonDraining, "the backend server has left the list"), removed != nil && *removed == instance
+	gone := b.goneIDs.Load()
+	return refused(frame.ReasonDraining, "the backend server has left the list"), gone != nil && (*gone)[instance]
 }
 
 // setServer replaces the list entry of the backend server, nil if it is not
-// listed, and returns the previous one.
-func (b *localBackend) setServer(local *catalog.Server) *catalog.Server {
+// listed, and the ids of the servers that it replaced. It returns the previous
+// entry. Calls must not overlap.
+func (b *localBackend) setServer(local *catalog.Server, replaced []string) *catalog.Server {
 	prev := b.server.Swap(local)
 	if prev != nil && (local == nil || local.ID != prev.ID) {
-		b.removedID.Store(&prev.ID)
+		b.lastID = prev.ID
 	}
+	gone := map[string]bool{b.lastID: true}
+	for _, id := range replaced {
+		gone[id] = true
+	}
+	b.goneIDs.Store(&gone)
 	return prev
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dogwoodhead/frame"
 	"dogwoodhead/standin"
 )
 
@@ -333,7 +334,7 @@
 }
 
 // Guards against a request running at a backend server of another service that
-// reuses a listed address.
+// reuses a listed address, whichever of the two entries was written last.
 func TestReusedAddress(t *testing.T) {
 	f := newFleet(t)
 	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
@@ -343,11 +344,35 @@
 	stale := standin.NewApp(standin.AppOptions{
 		ID: "i-book", Service: "book", Zone: "zone-a", Slots: 10, Addr: fmt.Sprintf("%s:%d", other.ip, appPort),
 	})
-	stale.Register(f.store, false)
-	require.Eventually(t, func() bool { return shop.node.board.Members().Len() == 3 }, waitLimit, time.Millisecond)
-	r := shop.send(callerRequest{path: "/book/x", id: "one"})
-	require.Equal(t, http.StatusServiceUnavailable, r.status)
-	require.Zero(t, other.app.Runs("one"))
+	check := func(rev uint64, id string) {
+		require.Eventually(t, func() bool { return shop.node.view.Rev() >= rev && len(shop.node.view.Listing().Servers) == 3 }, waitLimit, time.Millisecond)
+		r := shop.send(callerRequest{path: "/book/x", id: id})
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		require.Zero(t, other.app.Runs(id))
+	}
+	check(stale.Register(f.store, false), "one")
+	check(other.app.Register(f.store, false), "two")
+}
+
+// Guards against requests to a backend server that was replaced by another one at
+// its address, while its entry has not expired: after a power failure that is half
+// of all entries. Each such request costs an attempt, and a permit if the new
+// server refuses it.
+func TestReplacedServer(t *testing.T) {
+	f := newFleet(t)
+	old := standin.NewApp(standin.AppOptions{ID: "i-old", Service: "one", Zone: "zone-a", Slots: 10, Addr: fmt.Sprintf("%s.2:%d", f.net, appPort)})
+	old.Register(f.store, false)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	one := f.add(standin.AppOptions{ID: "i-new", Service: "one", Slots: 10})
+	f.applyConfig(1, routeTo("one", "/x/", "safe"))
+	for i := range 20 {
+		require.Equal(t, http.StatusOK, shop.send(callerRequest{path: "/x/", id: fmt.Sprint(i)}).status)
+	}
+	require.NotContains(t, shop.log.String()+one.log.String(), "i-old")
+	// A node with an older list may still send requests for the previous server.
+	r, refused := one.node.localBackend.unavailable("i-old")
+	require.True(t, refused)
+	require.Equal(t, frame.ReasonDraining, r.reason)
 }
 
 // Guards against requests being routed by an older configuration once a newer
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -208,25 +208,37 @@
 // applyServers applies a new list of backend servers.
 func (n *Node) applyServers(servers []catalog.Server) {
 	zones := n.settings.ZoneRegions()
-	vms := make([]board.VM, 0, len(servers))
+	current, replaced := catalog.SplitReplaced(servers)
+	vms := make([]board.VM, 0, len(current))
 	var local *catalog.Server
-	for _, s := range servers {
+	for _, s := range current {
 		vms = append(vms, board.NewVM(board.VMFields{
 			Name: s.ID, Zone: s.Zone, Region: zones[s.Zone], Service: s.Service, Slots: s.Slots,
 			CallAddr: onPort(s.Addr, n.settings.CallPort()), ControlAddr: onPort(s.Addr, n.settings.ControlPort()),
 			Leaving: s.Draining,
 		}))
-		if s.Addr == n.settings.BackendAddr() && s.Service == n.settings.Service() && (local == nil || s.StartedMillis > local.StartedMillis) {
+		if s.Addr == n.settings.BackendAddr() && s.Service == n.settings.Service() {
 			local = &s
 		}
 	}
 	n.board.SetMembers(board.NewMembers(n.view.Rev(), vms))
 	n.feeder.notify()
-	n.deleteRemovedPeers(servers)
-	n.syncer.updatePeers(servers)
+	n.deleteRemovedPeers(current)
+	n.syncer.updatePeers(current)
 	n.budgets.setNodes(n.syncer.peerCount() + 1)
-	n.setLocalServer(local)
-	n.log.WithFields(logrus.Fields{"list": n.view.Rev(), "servers": len(servers)}).Info("list in force")
+	n.setLocalServer(local, n.localIDs(replaced))
+	n.log.WithFields(logrus.Fields{"list": n.view.Rev(), "servers": len(current), "replaced": len(replaced)}).Info("list in force")
+}
+
+// localIDs returns the ids of the servers at the local backend server's address.
+func (n *Node) localIDs(servers []catalog.Server) []string {
+	var ids []string
+	for _, s := range servers {
+		if s.Addr == n.settings.BackendAddr() {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
 }
 
 // deleteRemovedPeers drops the state of unlisted peers without requests in flight.
@@ -247,9 +259,10 @@
 	}
 }
 
-// setLocalServer applies the local backend server's list entry, nil if not listed.
-func (n *Node) setLocalServer(local *catalog.Server) {
-	prev := n.localBackend.setServer(local)
+// setLocalServer applies the local backend server's list entry, nil if not listed,
+// and the ids of the servers that it replaced.
+func (n *Node) setLocalServer(local *catalog.Server, replaced []string) {
+	prev := n.localBackend.setServer(local, replaced)
 	if local == nil || prev != nil && prev.Slots == local.Slots {
 		return
 	}
