--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # How long 'make fuzz' runs each fuzz target.
 FUZZTIME ?= 1m
 
-.PHONY: build test fuzz lint format demo measure slopes generate soak soak-mesh
+.PHONY: build test fuzz lint format demo measure bench generate soak soak-mesh
 
 build:
 	mkdir -p bin
@@ -41,8 +41,8 @@
 measure: build
 	./bin/trial measure
 
-slopes: build
-	./bin/trial slopes
+# The benchmarks behind docs/CAPACITY.md.
+bench:
 	$(GO) test -run xxx -bench 'Call|Inflight' -benchtime 2s ./node
 	$(GO) test -run xxx -bench . -benchtime 0.5s ./once ./retry ./route ./level
 	$(GO) test -run xxx -bench EnterRelease -benchtime 0.5s ./admit
--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -19,7 +19,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "trial", Short: "run deployments as real processes on loopback", SilenceUsage: true}
-	root.AddCommand(demoCommand(), measureCommand(), slopesCommand(), soakCommand(), meshCommand())
+	root.AddCommand(demoCommand(), measureCommand(), soakCommand(), meshCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
--- a/trial/arithmetic_test.go
+++ b/trial/arithmetic_test.go
@@ -127,17 +127,12 @@
 	require.NoError(t, Account{}.check(&standin.Result{}))
 }
 
-// Guards against summing metrics with the same prefix, and against names in
-// /proc that contain spaces.
+// Guards against summing metrics with the same prefix.
 func TestUsage(t *testing.T) {
 	const text = "# TYPE bytes counter\nbytes{direction=\"in\"} 10\nbytes{direction=\"out\"} 2.5\nbytes_total 100\nbytes 1e3\n"
 	require.InDelta(t, 1012.5, sumMetric([]byte(text), "bytes"), 1e-9)
 	require.Zero(t, sumMetric([]byte(text), "byte"))
-	_, err := cpuTime(os.Getpid())
-	require.NoError(t, err)
 	memory, err := residentMemory(os.Getpid())
 	require.NoError(t, err)
 	require.Greater(t, memory, int64(1<<20))
-	line := extrapolate(FleetUsage{Nodes: 10, MemoryBytes: 5}, FleetUsage{Nodes: 20, MemoryBytes: 7}, 100)
-	require.InDelta(t, 23, line.MemoryBytes, 1e-9)
 }
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -45,9 +45,8 @@
 	BackendAddr        string
 	BackendControlAddr string
 
-	node      *Process
-	backend   *Process
-	inProcess *inProcessBackend
+	node    *Process
+	backend *Process
 	// nodeStarts and backendStarts number the processes' logs.
 	nodeStarts    int
 	backendStarts int
@@ -166,10 +165,6 @@
 	if f.programs.Node == "" {
 		settings.OutboundAddr, settings.DirectAddrs = "", f.directBackends(s.VM.Zone)
 	}
-	if f.plan.InProcess {
-		s.inProcess = startInProcess(settings)
-		return nil
-	}
 	file, err := f.writeSettings("backend-"+s.VM.Name+".json", settings)
 	if err != nil {
 		return err
@@ -286,13 +281,7 @@
 	for _, s := range f.servers {
 		nodes, backends = append(nodes, s.node), append(backends, s.backend)
 	}
-	errs := []error{stopAll(nodes), stopAll(backends)}
-	for _, s := range f.servers {
-		if s.inProcess != nil {
-			errs = append(errs, s.inProcess.Stop())
-		}
-	}
-	return errors.Join(append(errs, stopAll([]*Process{f.platform}))...)
+	return errors.Join(stopAll(nodes), stopAll(backends), stopAll([]*Process{f.platform}))
 }
 
 func stopAll(processes []*Process) error {
--- a/trial/plan.go
+++ b/trial/plan.go
@@ -27,8 +27,6 @@
 	Zones []string
 	// PerZone is the number of backend servers of each service in each zone.
 	PerZone int
-	// InProcess runs the backend servers in this process.
-	InProcess bool
 	// SelfTimes is the self time per operation, keyed by "service/operation".
 	SelfTimes map[string]time.Duration
 	// SelfTimeJitter is the largest relative deviation of a self time.
--- a/trial/usage.go
+++ b/trial/usage.go
@@ -9,37 +9,10 @@
 	"os"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// clockTick is the unit of processor time in /proc on Linux.
-const clockTick = 10 * time.Millisecond
-
-// cpuTime returns the user and system time that a process used.
-func cpuTime(pid int) (time.Duration, error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, eris.Wrap(err, "read processor time")
-	}
-	// The second field is the program's name in parentheses, which may contain
-	// spaces. User and system time are fields 14 and 15.
-	fields := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
-	if len(fields) < 13 {
-		return 0, eris.Errorf("/proc/%d/stat: %d fields after the name", pid, len(fields))
-	}
-	var ticks time.Duration
-	for _, f := range fields[11:13] {
-		n, err := strconv.ParseInt(f, 10, 64)
-		if err != nil {
-			return 0, eris.Wrap(err, "read processor time")
-		}
-		ticks += time.Duration(n)
-	}
-	return ticks * clockTick, nil
-}
-
 // residentMemory returns the resident memory of a process in bytes.
 func residentMemory(pid int) (int64, error) {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
