mesh: Let TestEndlessResponse not depend on when the stand-in frees its slot

The stand-in had one slot and releases it when its write fails, some time after the node has closed the connection; a request in between gets no answer, as from a real server without a free slot. Ruled out: the node's ticket, which is released before the response.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -168,7 +168,9 @@
 // holding its slot and connection.
 func TestEndlessResponse(t *testing.T) {
 	f := newFleet(t)
-	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 1, Fault: func(id string) standin.AppFault {
+	// The node uses one of the two slots. The server holds the other one until it
+	// notices that its connection was closed.
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 2, Fault: func(id string) standin.AppFault {
 		if id == "endless" {
 			return standin.AppEndless
 		}
@@ -176,6 +178,7 @@
 	}})
 	f.applyConfig(1, routeTo("shop", "/shop/", "unsafe"))
 	require.Equal(t, http.StatusBadGateway, shop.send(callerRequest{path: "/shop/x", id: "endless"}).status)
+	require.Zero(t, shop.node.gate.Load().Used())
 	require.Positive(t, shop.node.localBackend.health.failedFraction())
 	require.Equal(t, http.StatusOK, shop.send(callerRequest{path: "/shop/x", id: "next"}).status)
 	require.Equal(t, 1, shop.app.Runs("endless"))
