catalog, mesh: Log failed stale reads, keep the empty id out of the gone servers

Found in the read-through: the error of a stale read was dropped without a log line, and a node whose list never changed counted the empty id as that of a gone server. No request carries it, so no behaviour was seen to change.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -72,6 +72,8 @@
 	// ConnectionChanged is called with the error when the connection to the store
 	// is lost, and with nil when it is established.
 	ConnectionChanged func(err error)
+	// StaleReadFailed is called with the error of a stale read.
+	StaleReadFailed func(err error)
 	// Random returns a number in [0, 1). The default is that of math/rand.
 	Random func() float64
 }
@@ -142,7 +144,10 @@
 		f.sleep(ctx, readCheckInterval)
 		return
 	}
-	if l, c, err := f.opts.Read(ctx, true); err == nil {
+	l, c, err := f.opts.Read(ctx, true)
+	if err != nil {
+		f.opts.StaleReadFailed(err)
+	} else {
 		f.apply(l, c)
 	}
 	f.sleep(ctx, staleReadInterval)
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -138,6 +138,7 @@
 	defer cancel()
 	lists := []Listing{{Rev: 10, Servers: []Server{newTestServer("a", 3)}}, {Rev: 9}, {Rev: 12, Servers: []Server{newTestServer("b", 11)}}}
 	var ids []string
+	var failures []error
 	f := NewFollower(FollowerOptions{
 		Clock: clockwork.NewRealClock(), View: v,
 		Mode: func() ReadMode {
@@ -159,9 +160,11 @@
 			return l, nil, nil
 		},
 		ConnectionChanged: func(error) { require.Fail(t, "a stale read is no connection") },
+		StaleReadFailed:   func(err error) { failures = append(failures, err) },
 	})
 	f.Run(ctx)
 	require.Equal(t, []string{"a", "a", "b"}, ids)
+	require.Equal(t, []error{context.Canceled}, failures)
 	require.False(t, f.Connected())
 }
 
--- a/mesh/localbackend.go
+++ b/mesh/localbackend.go
@@ -184,7 +184,10 @@
 	if prev != nil && (local == nil || local.ID != prev.ID) {
 		b.lastID = prev.ID
 	}
-	gone := map[string]bool{b.lastID: true}
+	gone := make(map[string]bool, len(replaced)+1)
+	if b.lastID != "" {
+		gone[b.lastID] = true
+	}
 	for _, id := range replaced {
 		gone[id] = true
 	}
