catalog, mesh: Log each failed call to the store and each deferred removal

Cause: of an outage only the first failed call had a line, without its duration, so a call that hangs after the store is back could not be told from a long pause between calls; and no line said that a server stays in use although its entry was removed. No decision changes. One line a failed call, at most a few a second.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -72,6 +72,9 @@
 	// ConnectionChanged is called with the error when the connection to the store
 	// is lost, and with nil when it is established.
 	ConnectionChanged func(err error)
+	// CallFailed is called with the error of each failed call, how long the call
+	// took and the pause before the next one.
+	CallFailed func(err error, took, pause time.Duration)
 	// StaleReadFailed is called with the error of a stale read.
 	StaleReadFailed func(err error)
 	// Random returns a number in [0, 1). The default is that of math/rand.
@@ -116,6 +119,7 @@
 			f.readStale(ctx, mode)
 			continue
 		}
+		started := f.opts.Clock.Now()
 		var err error
 		if compacted || f.opts.View.Rev() == 0 {
 			err = f.readAll(ctx)
@@ -132,7 +136,9 @@
 			return
 		}
 		f.markDisconnected(err)
-		f.backOff(ctx, failures)
+		pause := f.retryDelay(failures)
+		f.opts.CallFailed(err, f.opts.Clock.Since(started), pause)
+		f.sleep(ctx, pause)
 		failures++
 	}
 }
@@ -230,14 +236,13 @@
 	}
 }
 
-// backOff waits before the next call, longer after each failure.
-func (f *Follower) backOff(ctx context.Context, failures int) {
-	d := initialRetryDelay
+// retryDelay returns the pause before the next call, which doubles with each failure.
+func (f *Follower) retryDelay(failures int) time.Duration {
+	d, maxDelay := initialRetryDelay, f.opts.MaxRetryDelay()
 	for range failures {
-		d = min(2*d, f.opts.MaxRetryDelay())
+		d = min(2*d, maxDelay)
 	}
-	d = d/2 + time.Duration(f.opts.Random()*float64(d)/2)
-	f.sleep(ctx, d)
+	return d/2 + time.Duration(f.opts.Random()*float64(d)/2)
 }
 
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -48,6 +48,7 @@
 	f := NewFollower(FollowerOptions{
 		Clock: clock, View: v, Random: func() float64 { return 0 }, Mode: func() ReadMode { return ReadFresh },
 		MaxRetryDelay: func() time.Duration { return time.Second },
+		CallFailed:    func(error, time.Duration, time.Duration) {},
 		Read: func(context.Context, bool) (Listing, *Config, error) {
 			st := s.next("read")
 			if st.rev == 0 {
@@ -112,6 +113,7 @@
 	f := NewFollower(FollowerOptions{
 		Clock: clock, View: NewView(ViewOptions{Clock: clock}), Mode: func() ReadMode { return ReadFresh },
 		MaxRetryDelay: func() time.Duration { return time.Second },
+		CallFailed:    func(error, time.Duration, time.Duration) {},
 		Read:          func(context.Context, bool) (Listing, *Config, error) { return Listing{Rev: 1}, nil, nil },
 		Watch: func(_ context.Context, after uint64, _ time.Duration) ([]Event, uint64, error) {
 			watched = append(watched, clock.Now())
@@ -181,6 +183,7 @@
 	f := NewFollower(FollowerOptions{
 		Clock: clock, View: v, Random: func() float64 { return 0 }, Mode: func() ReadMode { return ReadFresh },
 		MaxRetryDelay: func() time.Duration { return time.Second },
+		CallFailed:    func(error, time.Duration, time.Duration) {},
 		Watch: func(ctx context.Context, _ uint64, _ time.Duration) ([]Event, uint64, error) {
 			watches++
 			if watches == 1 {
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -34,6 +34,9 @@
 	ServersChanged func(servers []Server)
 	// ConfigChanged is called likewise after each new configuration. It may be nil.
 	ConfigChanged func(c *Config)
+	// RemovalDeferred is called when a server stays in use for the time left although its
+	// entry was removed. It must not access the View, and may be nil.
+	RemovalDeferred func(s Server, left time.Duration)
 }
 
 // View is the configuration and the backend servers known to a node. It is safe
@@ -69,6 +72,9 @@
 	if opts.ConfigChanged == nil {
 		opts.ConfigChanged = func(*Config) {}
 	}
+	if opts.RemovalDeferred == nil {
+		opts.RemovalDeferred = func(Server, time.Duration) {}
+	}
 	return &View{clock: opts.Clock, opts: opts, servers: make(map[string]serverEntry)}
 }
 
@@ -301,5 +307,6 @@
 	}
 	entry.removeAt = removeAt
 	v.servers[id] = entry
+	v.opts.RemovalDeferred(entry.server, removeAt.Sub(now))
 	return false
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -111,7 +111,7 @@
 		Algorithm: admit.AlgorithmFixed,
 	})
 	n.chooser = route.NewChooser(n.board, route.Options{Clock: clock, Rand: newRand(), SpillThreshold: spillUtilisation})
-	n.view = catalog.NewView(catalog.ViewOptions{Clock: clock, ServersChanged: n.applyServers, ConfigChanged: n.applyConfig})
+	n.view = catalog.NewView(catalog.ViewOptions{Clock: clock, ServersChanged: n.applyServers, ConfigChanged: n.applyConfig, RemovalDeferred: n.logDeferredRemoval})
 	n.buildClients(dial)
 	n.buildCallPath()
 	n.buildControl(dial)
@@ -171,6 +171,7 @@
 	n.follower = catalog.NewFollower(catalog.FollowerOptions{
 		Clock: n.clock, View: n.view, Read: store.Read, Watch: store.Watch, ConnectionChanged: n.logStoreState, Random: rand.Float64,
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
+		CallFailed:      n.logFailedStoreCall,
 		StaleReadFailed: func(err error) { n.log.WithField("error", err.Error()).Debug("stale read failed") },
 	})
 	n.controlClient = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: n.controlMetrics, Dial: dial})
@@ -199,6 +200,19 @@
 	n.log.WithFields(fields).Info("store connected")
 }
 
+// logFailedStoreCall logs a failed call to the store, with its duration: a call
+// that hangs and one that is refused at once have different causes.
+func (n *Node) logFailedStoreCall(err error, took, pause time.Duration) {
+	n.log.WithFields(logrus.Fields{
+		"error": err.Error(), "took": took.Milliseconds(), "pause": pause.Milliseconds(), "config": n.view.ConfigVersion(), "list": n.view.Rev(),
+	}).Warn("store call failed")
+}
+
+// logDeferredRemoval logs that a server without an entry stays in use for a time.
+func (n *Node) logDeferredRemoval(s catalog.Server, left time.Duration) {
+	n.log.WithFields(logrus.Fields{"instance": s.ID, "address": s.Addr, "entry": s.Rev, "left": left.Milliseconds()}).Info("removal deferred")
+}
+
 // applyConfig reacts to a new active configuration.
 func (n *Node) applyConfig(c *catalog.Config) {
 	n.splitter.reset()
