relay, source, standin: Bound how late readers notice the end of an outage

The readers of the product's own configuration service watched for 30 s with 3 s more to respond, so a watch that was made while the service was silent hid changes for up to 33 s after its return; the target is 5 s. Ruled out elsewhere: calls between nodes end after 1 s and drop their connection (peer.ControlClient), connections close after 1.5 s without an acknowledgement, requests end at their deadline. Change: a watch waits 1.5 s and has 1 s to respond, the backoff is at most 1 s; 198 watches then make 132 to 260 reads a second, limit 2,000. The stand-in learns the mode silent; in-memory connections for tests in simulated time move to standin.

--- a/mesh/outage_test.go
+++ b/mesh/outage_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -60,30 +59,6 @@
 	return out
 }
 
-// pipeListener accepts in-memory connections.
-type pipeListener struct{ conns chan net.Conn }
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	c, ok := <-l.conns
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-func (l pipeListener) Close() error   { close(l.conns); return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (l pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	client, server := net.Pipe()
-	select {
-	case l.conns <- server:
-		return client, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // storeReader is the part of a node that reads the store. It runs in a bubble of
 // synctest, over in-memory connections.
 type storeReader struct {
@@ -101,10 +76,10 @@
 	r := &storeReader{store: standin.NewStore()}
 	r.view = catalog.NewView(catalog.ViewOptions{Clock: clock, ServersChanged: func(s []catalog.Server) { r.servers.Store(int32(len(s))) }})
 	n.view = r.view
-	ln := pipeListener{conns: make(chan net.Conn)}
+	ln := standin.NewPipeListener()
 	srv := &http.Server{Handler: r.store.Handler(), ReadHeaderTimeout: waitLimit}
 	go func() { _ = srv.Serve(ln) }()
-	client := h1.NewClient(h1.Options{Clock: clock, Dial: ln.dial})
+	client := h1.NewClient(h1.Options{Clock: clock, Dial: ln.Dial})
 	store := platform.NewStore("store:1", client, func(string, error) {})
 	n.syncer = newSyncer(syncerOptions{clock: clock, view: r.view, selfAddr: "10.0.0.1:1"})
 	n.feeder = newFeeder(feederOptions{clock: clock, sync: n.syncer, selfAddr: "10.0.0.1:1", listed: func() bool { return true }})
--- a/relay/read.go
+++ b/relay/read.go
@@ -11,13 +11,15 @@
 
 const (
 	// watchWait is how long the platform may hold one watch (a long poll), which
-	// it counts as one read.
-	watchWait = 30 * time.Second
-	// Backoff of a failed watch. The upper bound keeps the node within the 5 s
-	// in which a change must be active after the platform recovers; 198 watches
-	// in 22 zones then make about 130 reads a second.
+	// it counts as one read. A watch that was made while the platform was silent
+	// never gets a response and looks like one without news, so watchWait bounds
+	// how long the end of an outage goes unnoticed: a change must be active 5 s
+	// after it. 198 watches in 22 zones make 132 reads a second.
+	watchWait = 1500 * time.Millisecond
+	// Backoff of a failed watch. It counts towards the same 5 s; 198 watches
+	// make about 260 reads a second then.
 	minBackoff = 250 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	maxBackoff = time.Second
 	// rejectedReadInterval is the mean time between reads of a key whose last
 	// revision was rejected. The watch waits for a revision above that one, but a
 	// replica that lags may still return an acceptable one below it.
--- a/source/client.go
+++ b/source/client.go
@@ -21,7 +21,7 @@
 	// slower one counts as unavailable.
 	readTimeout = 3 * time.Second
 	// watchGrace is added to the wait of a watch to give the request's timeout.
-	watchGrace = 3 * time.Second
+	watchGrace = time.Second
 	// dialTimeout bounds opening a connection.
 	dialTimeout = time.Second
 	// idleTimeout is longer than the wait of a watch, so that a reader keeps
@@ -59,6 +59,8 @@
 type Options struct {
 	// Addr is the ip:port of the service.
 	Addr string
+	// Dial opens a TCP connection; that of a net.Dialer if nil.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Client reads and watches keys. It is safe for concurrent use.
@@ -70,8 +72,11 @@
 
 // NewClient returns a client with a separate transport.
 func NewClient(opts Options) *Client {
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         opts.Dial,
 		MaxIdleConnsPerHost: maxConns,
 		MaxConnsPerHost:     maxConns,
 		IdleConnTimeout:     idleTimeout,
--- a/source/watcher.go
+++ b/source/watcher.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Watcher runs each watch in its own goroutine, so that a watch that waits for
-// half a minute does not occupy a worker.
+// Watcher runs each watch in its own goroutine, so that a watch that waits does
+// not occupy a worker.
 type Watcher struct {
 	client *Client
 	wg     sync.WaitGroup
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -32,6 +32,8 @@
 	ModeDown Mode = "down"
 	// ModeRefuse closes the connection without a response.
 	ModeRefuse Mode = "refuse"
+	// ModeSilent never responds, not even after the mode has changed.
+	ModeSilent Mode = "silent"
 	// ModeStale returns the revisions that were current when it was set.
 	ModeStale Mode = "stale"
 	// ModeOlder returns the revision before the current one.
@@ -55,7 +57,7 @@
 	WaitingWatches int `json:"waiting"`
 	// RateLimited counts reads refused with 429.
 	RateLimited uint64 `json:"limited"`
-	// Unavailable counts lookups of a value in ModeDown or ModeRefuse.
+	// Unavailable counts lookups of a value while the mode made none available.
 	Unavailable uint64 `json:"unavailable"`
 	// PeakReadsPerSecond is the largest number of reads within one second.
 	PeakReadsPerSecond int `json:"peak"`
@@ -179,12 +181,15 @@
 	return true
 }
 
+// unavailable reports whether no value is returned in this mode.
+func (m Mode) unavailable() bool { return m == ModeDown || m == ModeRefuse || m == ModeSilent }
+
 // readValue returns the value of key under the current mode, and the channel
 // that is closed on the next change. It counts lookups while unavailable.
 func (p *Platform) readValue(key string) (Value, Mode, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.mode == ModeDown || p.mode == ModeRefuse {
+	if p.mode.unavailable() {
 		p.stats.Unavailable++
 	}
 	revisions := p.values[key]
@@ -212,8 +217,7 @@
 	olderPassed := false
 	for {
 		v, mode, changed := p.readValue(key)
-		unavailable := mode == ModeDown || mode == ModeRefuse
-		if v.Rev > after || unavailable || mode == ModeOlder && olderPassed {
+		if v.Rev > after || mode.unavailable() || mode == ModeOlder && olderPassed {
 			return v, mode
 		}
 		select {
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -13,7 +13,7 @@
 // Handler serves the platform's interface and the control endpoints:
 //
 //	POST /control/publish/{key}?revision=N   publishes the body as the value
-//	POST /control/mode/{mode}                up, down, refuse, stale, older
+//	POST /control/mode/{mode}                up, down, refuse, silent, stale, older
 //	GET  /control/stats                      PlatformStats
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -34,7 +34,7 @@
 		return
 	}
 	v, mode, _ := p.readValue(key)
-	writeValue(w, v, mode, http.StatusNotFound)
+	writeValue(w, r, v, mode, http.StatusNotFound)
 }
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -54,12 +54,15 @@
 		return
 	}
 	v, mode := p.watch(r.Context(), key, after, wait)
-	writeValue(w, v, mode, http.StatusNotModified)
+	writeValue(w, r, v, mode, http.StatusNotModified)
 }
 
 // writeValue sends a value, or noValueStatus if it is the zero Value.
-func writeValue(w http.ResponseWriter, v Value, mode Mode, noValueStatus int) {
+func writeValue(w http.ResponseWriter, r *http.Request, v Value, mode Mode, noValueStatus int) {
 	switch {
+	case mode == ModeSilent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	case mode == ModeRefuse:
 		panic(http.ErrAbortHandler)
 	case mode == ModeDown:
@@ -91,10 +94,10 @@
 
 func (p *Platform) serveMode(w http.ResponseWriter, r *http.Request) {
 	switch m := Mode(r.PathValue("mode")); m {
-	case ModeUp, ModeDown, ModeRefuse, ModeStale, ModeOlder:
+	case ModeUp, ModeDown, ModeRefuse, ModeSilent, ModeStale, ModeOlder:
 		p.SetMode(m)
 	default:
-		http.Error(w, "mode: want up, down, refuse, stale or older", http.StatusNotFound)
+		http.Error(w, "mode: want up, down, refuse, silent, stale or older", http.StatusNotFound)
 	}
 }
 
