--- a/standin/app.go
+++ b/standin/app.go
@@ -47,6 +47,8 @@
 	OutboundAddr string
 	// Fault returns the fault of the request with an id; nil for no faults.
 	Fault func(id string) AppFault
+	// SetHeaders adds headers to each response of the app; nil adds none.
+	SetHeaders func(http.Header)
 }
 
 // App is a stand-in for a backend server of the users' platform.
@@ -102,9 +104,14 @@
 	if err != nil {
 		return err
 	}
+	a.Serve(ln)
+	return nil
+}
+
+// Serve serves the connections of a listener until Stop.
+func (a *App) Serve(ln net.Listener) {
 	a.http = &http.Server{Handler: a, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = a.http.Serve(ln) }()
-	return nil
 }
 
 // ID returns the app's id.
@@ -178,6 +185,9 @@
 		return
 	}
 	a.recordArrival(id)
+	if a.opts.SetHeaders != nil {
+		a.opts.SetHeaders(h)
+	}
 	fault := AppFault("")
 	if a.opts.Fault != nil {
 		fault = a.opts.Fault(id)
