admit, mesh, platform: Keep to the rate limit that a backend server names

Ruled out: sharing the limit out between the nodes where requests begin. The node beside the server sees every request to it, so one bucket there is exact, needs no message, and holds for nodes that are cut off. Its reported limit shrinks to the calls in flight at that rate, so that other nodes choose other servers. A response to a request that was sent after the last naming and names none ends it; a new incarnation starts without one. At least one request in 2 s goes on, because only a response shows the end.

--- a/admit/decide.go
+++ b/admit/decide.go
@@ -44,7 +44,7 @@
 		return refuseDecision(frame.ReasonBulkhead, "dependency holds its share of the slots", false)
 	}
 	selfTime := g.callTimes.typicalSelfTime(c.Target, now)
-	if g.queue.Len() == 0 && g.inflight < g.limit.Value() {
+	if g.queue.Len() == 0 && g.inflight < g.limit.Value() && g.rate.delay(now) == 0 {
 		if c.TimeLeft < selfTime {
 			return refuseDecision(frame.ReasonLate, "time left is below the typical time", false)
 		}
@@ -87,8 +87,7 @@
 
 // expectedWait returns the expected queue delay of a new call of the priority.
 func (g *Gate) expectedWait(p frame.Level) time.Duration {
-	slotInterval := g.callTimes.slotTime.mean / float64(g.limit.Value())
-	return time.Duration(float64(g.queue.Ahead(p)+1) * slotInterval)
+	return time.Duration(float64(g.queue.Ahead(p)+1) * float64(g.slotInterval()))
 }
 
 // Explain returns the decision that a call would get now, and its explanation.
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -34,10 +34,11 @@
 
 // Gate admits calls to the local backend server. It is safe for concurrent use.
 //
-// A call is admitted immediately when a slot is free and no call is queued. It
-// is refused if its priority is above the admission level, it cannot finish
-// before its deadline, the queue is full, or a dependency's share is used up;
-// otherwise it is queued. Calls of class 0 may wait until their deadline.
+// A call is admitted immediately when a slot is free, the rate limit allows it and
+// no call is queued. It is refused if its priority is above the admission level,
+// it cannot finish before its deadline, the queue is full, or a dependency's share
+// is used up; otherwise it is queued. Calls of class 0 may wait until their
+// deadline.
 type Gate struct {
 	clock clockwork.Clock
 	opts  Options
@@ -58,6 +59,7 @@
 	counts       counts
 	backpressure backpressure
 	meter        meter
+	rate         rateLimit
 }
 
 // NewGate returns an open gate.
@@ -237,6 +239,7 @@
 	frame.AssertInvariant(!g.limits.Enabled || g.inflight < limit, "limit", "%d in flight of %d", g.inflight, limit)
 	g.meter.advance(now, g.inflight, limit)
 	g.inflight++
+	g.rate.take(now)
 	g.counts.admitted[c.Priority.Class()]++
 	est := g.callTimes.findOrCreateEstimate(c.Target)
 	est.inflight++
@@ -249,7 +252,7 @@
 		return
 	}
 	g.refuseOverdue(now)
-	for g.inflight < g.limit.Value() {
+	for g.inflight < g.limit.Value() && g.rate.delay(now) == 0 {
 		e := g.queue.first()
 		if e == nil {
 			return
@@ -264,6 +267,7 @@
 		}
 		g.admitQueued(e, now)
 	}
+	g.scheduleDispatch(now)
 }
 
 // refuseOverdue refuses queued calls that expired and those that waited longer than
@@ -284,9 +288,13 @@
 
 // delayTarget returns the queue delay that calls may have under overload.
 func (g *Gate) delayTarget() time.Duration {
-	slotInterval := time.Duration(g.callTimes.slotTime.mean / float64(g.limit.Value()))
 	selfTimeTarget := time.Duration(delayTargetFraction * g.callTimes.overall.mean)
-	return max(minDelayTarget, selfTimeTarget, delayTargetSlotIntervals*slotInterval)
+	return max(minDelayTarget, selfTimeTarget, delayTargetSlotIntervals*g.slotInterval())
+}
+
+// slotInterval returns the mean interval between two admissions under load.
+func (g *Gate) slotInterval() time.Duration {
+	return max(time.Duration(g.callTimes.slotTime.mean/float64(g.limit.Value())), g.rate.interval())
 }
 
 // defaultMaxQueueWait returns the maximum queue wait of calls outside class 0
@@ -369,9 +377,11 @@
 	return g.callTimes.typicalSelfTime(t, g.clock.Now())
 }
 
-// Load returns the number of calls in flight or queued, and the limit.
+// Load returns the number of calls in flight or queued, and the limit, which is
+// that of the rate limit if it allows fewer.
 func (g *Gate) Load() frame.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return frame.NewLoad(g.inflight+g.queue.Len(), g.limit.Value())
+	limit := g.rate.concurrency(time.Duration(g.callTimes.slotTime.mean), g.limit.Value())
+	return frame.NewLoad(g.inflight+g.queue.Len(), limit)
 }
--- a/mesh/announced_test.go
+++ b/mesh/announced_test.go
@@ -141,6 +141,38 @@
 	}
 }
 
+// Guards against limiting a backend server whose responses name no limit anymore,
+// and a new one at the address of another that named one.
+func TestServerLimitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var limited atomic.Bool
+		limited.Store(true)
+		f := startBackendFixture(standin.AppOptions{
+			ID: "i-1", Slots: 20, SelfTime: 50 * time.Millisecond,
+			SetHeaders: func(h http.Header) {
+				if limited.Load() {
+					h.Set("Server-Limit", "2")
+				}
+			},
+		})
+		defer f.stop()
+		arrivalsIn := func(d time.Duration) int {
+			before := len(f.app.Arrivals())
+			f.sendFor(d, 100, func(result) {})
+			return len(f.app.Arrivals()) - before
+		}
+		arrivalsIn(time.Second)
+		require.LessOrEqual(t, arrivalsIn(2*time.Second), 5)
+		f.backend.setServer(&catalog.Server{ID: "i-1", Slots: 20, StartedMillis: 1}, nil)
+		require.GreaterOrEqual(t, arrivalsIn(100*time.Millisecond), 4, "a restarted server starts without a limit")
+		arrivalsIn(time.Second)
+		require.LessOrEqual(t, arrivalsIn(2*time.Second), 5, "its responses name the limit again")
+		limited.Store(false)
+		arrivalsIn(2 * time.Second)
+		require.GreaterOrEqual(t, arrivalsIn(2*time.Second), 190, "the limit has ended")
+	})
+}
+
 // Guards against sending requests to a backend server that says in its responses
 // that it leaves, whatever its entry in the list says.
 func TestServerLeaving(t *testing.T) {
--- a/mesh/localbackend.go
+++ b/mesh/localbackend.go
@@ -51,6 +51,8 @@
 	lastID  string
 
 	health *health
+	// announced applies what the backend server announces in its responses.
+	announced *announced
 	// childBackpressure holds what the child requests of each route report.
 	childBackpressure *routeBackpressure
 
@@ -60,7 +62,10 @@
 }
 
 func newLocalBackend(opts localBackendOptions) *localBackend {
-	return &localBackend{opts: opts, running: make(map[string]*call), health: newHealth(opts.clock), childBackpressure: newRouteBackpressure(opts.clock)}
+	return &localBackend{
+		opts: opts, running: make(map[string]*call), health: newHealth(opts.clock), announced: newAnnounced(opts.log, opts.gate),
+		childBackpressure: newRouteBackpressure(opts.clock),
+	}
 }
 
 // parent returns the running request that made the child request with the id,
@@ -192,6 +197,9 @@
 		gone[id] = true
 	}
 	b.goneIDs.Store(&gone)
+	if local != nil {
+		b.announced.setInstance(local.ID, prev != nil && prev.StartedMillis != local.StartedMillis)
+	}
 	return prev
 }
 
@@ -216,10 +224,14 @@
 	setDeadlineHeader(h, c.timeLeft(b.opts.clock.Now()))
 	h.Set(platform.HeaderTargetInstance, instance)
 	h.Set(platform.HeaderCallerService, c.origin)
+	sentAt := b.opts.clock.Now()
 	resp, err := b.opts.http.Do(ctx, b.opts.addr, c.httpRequest(h))
 	if err != nil {
 		return failedExchange(ctx, err)
 	}
+	if resp.Status != http.StatusMisdirectedRequest {
+		b.announced.record(resp.Header, instance, sentAt, b.opts.clock.Now())
+	}
 	if resp.Header.Get(platform.HeaderNotExecuted) != "" || resp.Status == http.StatusMisdirectedRequest {
 		_ = drainBody(resp.Body)
 		return refused(frame.ReasonDown, "the backend server answered "+http.StatusText(resp.Status)+" without running the request")
