mesh, platform: Send nothing to a backend server whose responses say that it leaves

A server that says Server-Leaving in its responses got requests until its list entry changed, which may be late or never come while the store is away (DRAIN). Cause: nothing read the header; servers left by the list alone. Ruled out: the node beside the server alone. It sees every response and refuses later requests as not run, but forgets that when it restarts. So a node that has passed on such a response also chooses the server no more, which is what the rule binds. Both hold until the list has another incarnation (another start under the same id). Before: TestServerLeaving requests for good (bound 2 s), TestServerLeavingNodeRestarts status 200 after the restart.

--- a/mesh/announced.go
+++ b/mesh/announced.go
@@ -30,6 +30,8 @@
 	limit rate.Limit
 	// limitedAt is when a response last named a limit.
 	limitedAt time.Time
+	// leaving is set once a response said that the server leaves.
+	leaving bool
 }
 
 func newAnnounced(log *logrus.Logger, gate *admit.Gate) *announced {
@@ -44,17 +46,23 @@
 	if instance == a.instance && !restarted {
 		return
 	}
-	a.instance = instance
+	a.instance, a.leaving = instance, false
 	a.setLimit(rate.Inf)
 }
 
+// isLeaving reports whether the instance has said that it leaves.
+func (a *announced) isLeaving(instance string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving && a.instance == instance
+}
+
 // record applies the headers of a response of the instance to a request that was
 // sent at sentAt and answered at now.
 func (a *announced) record(h http.Header, instance string, sentAt, now time.Time) {
 	perSecond, limited, err := platform.RateLimit(h)
 	if err != nil {
 		a.log.WithFields(logrus.Fields{"instance": instance, "error": err.Error()}).Warn("rate limit of the backend server can't be read")
-		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -64,7 +72,12 @@
 	if instance != a.instance {
 		return
 	}
+	if platform.Leaving(h) && !a.leaving {
+		a.leaving = true
+		a.log.WithField("instance", instance).Info("backend server says that it leaves")
+	}
 	switch {
+	case err != nil:
 	case limited:
 		a.limitedAt = now
 		a.setLimit(max(rate.Limit(perSecond), minServerRate))
--- a/mesh/announced_test.go
+++ b/mesh/announced_test.go
@@ -198,5 +198,8 @@
 		for _, a := range f.app.Arrivals() {
 			require.Less(t, a.At.Sub(left), changeBound, "request after the server announced that it leaves")
 		}
+		leaving.Store(false)
+		f.backend.setServer(&catalog.Server{ID: "i-1", Slots: 20, StartedMillis: 1}, nil)
+		f.sendFor(time.Second, 20, func(r result) { require.Equal(t, frame.Answered, r.outcome, "a new incarnation under the same id") })
 	})
 }
--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -7,6 +7,7 @@
 
 	"dogwoodhead/board"
 	"dogwoodhead/frame"
+	"dogwoodhead/platform"
 	"dogwoodhead/route"
 )
 
@@ -46,14 +47,18 @@
 
 // chooserReport converts a result to a report for the chooser. A leaving node is
 // reported as down, so that it is avoided for a limited time only: its successor
-// on the VM has no other way to announce itself.
+// on the VM has no other way to announce itself. A leaving backend server is
+// reported as leaving, which holds until the list has another incarnation of it.
 func chooserReport(r result) route.AttemptResult {
-	if r.feedback == nil || !r.feedback.Leaving {
-		return route.AttemptResult{Err: r.err(), Feedback: r.feedback}
+	if r.feedback == nil {
+		return route.AttemptResult{Err: r.err()}
 	}
 	feedback := *r.feedback
-	feedback.Leaving = false
-	return route.AttemptResult{Err: frame.NotRunError(frame.ReasonDown, "the node is stopping"), Feedback: &feedback}
+	feedback.Leaving = r.response != nil && platform.Leaving(r.response.header)
+	if r.feedback.Leaving {
+		return route.AttemptResult{Err: frame.NotRunError(frame.ReasonDown, "the node is stopping"), Feedback: &feedback}
+	}
+	return route.AttemptResult{Err: r.err(), Feedback: &feedback}
 }
 
 // setRelativeLatency records the typical latency in r.feedback and sets it there
--- a/mesh/localbackend.go
+++ b/mesh/localbackend.go
@@ -174,6 +174,9 @@
 	if b.opts.leaving() {
 		return refused(frame.ReasonLeaving, "the node is stopping"), true
 	}
+	if b.announced.isLeaving(instance) {
+		return refused(frame.ReasonDraining, "the backend server says that it leaves"), true
+	}
 	if local := b.server.Load(); local != nil && local.ID == instance {
 		return refused(frame.ReasonDraining, "the backend server is draining"), local.Draining
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -500,6 +500,36 @@
 	}, waitLimit, 10*time.Millisecond)
 }
 
+// Guards against sending requests to a server whose response said that it leaves,
+// although the node beside it restarted since, and against never using the server
+// again after it restarted under its id.
+func TestServerLeavingNodeRestarts(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	one := f.add(standin.AppOptions{
+		ID: "i-1", Service: "one", Slots: 10, SetHeaders: func(h http.Header) { h.Set("Server-Leaving", "1") },
+	})
+	f.applyConfig(1, routeTo("one", "/x/", "unsafe"))
+	first := shop.send(callerRequest{path: "/x/", id: "first"})
+	require.Equal(t, http.StatusOK, first.status)
+	require.Equal(t, "1", first.header.Get("Server-Leaving"))
+	one.node.grace.Store(0)
+	one.stop()
+	require.NoError(t, <-one.done)
+	one.start()
+	f.waitForVersion(1)
+	for i := range 50 {
+		id := fmt.Sprint("late", i)
+		require.Equal(t, http.StatusServiceUnavailable, shop.send(callerRequest{path: "/x/", id: id}).status)
+		require.Zero(t, one.app.Runs(id))
+	}
+	restarted := standin.NewApp(standin.AppOptions{ID: "i-1", Service: "one", Zone: "zone-a", Addr: fmt.Sprintf("%s:%d", one.ip, appPort), Slots: 10})
+	restarted.Register(f.store, false)
+	require.Eventually(t, func() bool {
+		return shop.send(callerRequest{path: "/x/", id: "again"}).status == http.StatusOK
+	}, waitLimit, 10*time.Millisecond)
+}
+
 // Guards against child requests being refused while new requests are served,
 // which would waste the work of their parents.
 func TestChildPriority(t *testing.T) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -83,6 +83,9 @@
 	leaving, backendClosed atomic.Bool
 	// grace is the shutdown grace period, a time.Duration.
 	grace atomic.Int64
+	// startedMillis holds the start of each listed server by id. Only applyServers
+	// accesses it, whose calls do not overlap.
+	startedMillis map[string]int64
 }
 
 // dialFunc is the type of net.Dialer.DialContext.
@@ -239,6 +242,7 @@
 	n.board.SetMembers(board.NewMembers(n.view.Rev(), vms))
 	n.feeder.notify()
 	n.deleteRemovedPeers(current)
+	n.resetRestarted(current)
 	n.syncer.updatePeers(current)
 	n.budgets.setNodes(n.syncer.peerCount() + 1)
 	n.setLocalServer(local, n.localIDs(replaced))
@@ -274,6 +278,23 @@
 	}
 }
 
+// resetRestarted ends the leaving state of servers that started again under the id
+// of an earlier incarnation.
+func (n *Node) resetRestarted(servers []catalog.Server) {
+	started := make(map[string]int64, len(servers))
+	for _, s := range servers {
+		started[s.ID] = s.StartedMillis
+		if previous, ok := n.startedMillis[s.ID]; !ok || previous == s.StartedMillis {
+			continue
+		}
+		n.board.Peers().Update(s.ID, func(p board.Peer, ok bool) (board.Peer, bool) {
+			p.Leaving = false
+			return p, ok
+		})
+	}
+	n.startedMillis = started
+}
+
 // setLocalServer applies the local backend server's list entry, nil if not listed,
 // and the ids of the servers that it replaced.
 func (n *Node) setLocalServer(local *catalog.Server, replaced []string) {
