mesh: Refuse callers' requests that arrive late in the shutdown

While a request was in progress, a stopping node still took requests on connections that were open, passed them on, and cut them at the end of the grace period, also those that may not be repeated. Callers saw a closed connection for a request that may have run. Ruled out: closing such connections, which loses requests that cross the close. Change: from then on new requests get 503 with Retry-After and Connection: close, which says truly that they have not run; the calls of running requests are still served. Before: TestStopLateRequest unexpected EOF after 3.3 s, run once. After: passes.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -48,8 +48,9 @@
 	// service is the service of the local backend server.
 	service string
 	random  func() float64
-	// leaving reports whether the process is shutting down.
-	leaving func() bool
+	// leaving reports whether the process is shutting down, closed whether it accepts
+	// no new requests of callers anymore.
+	leaving, closed func() bool
 }
 
 // ingress serves the requests that originate on this VM, from callers and from
@@ -217,7 +218,8 @@
 	return n
 }
 
-// serve sheds new requests whose route has backpressure, and routes the others.
+// serve sheds new requests whose route has backpressure, refuses those that arrive
+// late in the shutdown and could be cut off at its end, and routes the others.
 func (in *ingress) serve(ctx context.Context, c *call, stats *requestStats) result {
 	if c.parent != nil {
 		// The parent's self time excludes the time of its child requests.
@@ -227,6 +229,9 @@
 		in.opts.localBackend.recordChild(c.parent, r)
 		return r
 	}
+	if in.opts.closed() {
+		return refused(frame.ReasonLeaving, "the node is stopping")
+	}
 	if fraction := in.shedFraction(c); fraction > 0 && float64(c.rank()) >= numRanks*(1-fraction) {
 		return refused(frame.ReasonLevel, "services on the request's path are strained")
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -1,8 +1,12 @@
 package mesh
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -463,6 +467,47 @@
 	require.NoError(t, <-shop.done)
 }
 
+// Guards against passing on a request that arrives late in the shutdown, on a
+// connection that is still open, and cutting it off at the end of the grace period.
+func TestStopLateRequest(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	slow := f.add(standin.AppOptions{ID: "i-slow", Service: "slow", Slots: 10, SelfTime: 3 * time.Second})
+	f.applyConfig(1, routeTo("slow", "/slow/", "unsafe"), routeTo("shop", "/shop/", "safe"))
+	outbound := net.JoinHostPort(shop.ip, strconv.Itoa(outboundPort))
+	kept, err := net.Dial("tcp", outbound)
+	require.NoError(t, err)
+	defer kept.Close()
+	reader := bufio.NewReader(kept)
+	sendKept := func(id, path string) *http.Response {
+		fmt.Fprintf(kept, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 9000\r\n\r\n", path, host, id)
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		return resp
+	}
+	require.Equal(t, http.StatusOK, sendKept("early", "/shop/").StatusCode)
+	inProgress := make(chan callerResponse, 1)
+	go func() { inProgress <- shop.send(callerRequest{path: "/slow/", id: "in progress"}) }()
+	require.Eventually(t, func() bool { return slow.app.Runs("in progress") > 0 }, waitLimit, time.Millisecond)
+	shop.stop()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", outbound)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, waitLimit, time.Millisecond, "the node stops accepting connections")
+	late := sendKept("late", "/slow/")
+	require.Equal(t, http.StatusServiceUnavailable, late.StatusCode)
+	require.NotEmpty(t, late.Header.Get("Retry-After"))
+	require.True(t, late.Close)
+	require.Zero(t, slow.app.Runs("late"), "the response says that it did not run")
+	require.Equal(t, http.StatusOK, (<-inProgress).status)
+	require.NoError(t, <-shop.done)
+}
+
 // Guards against new work starting at a backend server whose node is shutting
 // down, and against such work running although it was refused.
 func TestBackendClosed(t *testing.T) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -79,8 +79,9 @@
 	controlClient                    *peer.ControlClient
 	controlServer                    *peer.ControlServer
 	// leaving is set when shutdown starts, backendClosed when the node stops
-	// accepting work for its backend server.
-	leaving, backendClosed atomic.Bool
+	// accepting work for its backend server, callersClosed when it stops accepting
+	// requests of callers.
+	leaving, backendClosed, callersClosed atomic.Bool
 	// grace is the shutdown grace period, a time.Duration.
 	grace atomic.Int64
 	// startedMillis holds the start of each listed server by id. Only applyServers
@@ -163,7 +164,7 @@
 		clock: n.clock, log: n.log, view: n.view, board: n.board, chooser: n.chooser, budgets: n.budgets,
 		splitter: n.splitter, localBackend: n.localBackend, client: &peerClient{clock: n.clock, http: n.peerHTTP, bodyMemory: n.bodyMemory}, metrics: n.metrics,
 		bodyMemory: n.bodyMemory,
-		service:    n.settings.Service(), random: rand.Float64, leaving: n.leaving.Load,
+		service:    n.settings.Service(), random: rand.Float64, leaving: n.leaving.Load, closed: n.callersClosed.Load,
 	})
 }
 
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -155,6 +155,7 @@
 	n.clock.Sleep(min(backendDrainDelay, maxDelay))
 	n.backendClosed.Store(true)
 	n.clock.Sleep(min(callerDrainDelay, maxDelay) - n.clock.Since(started))
+	n.callersClosed.Store(true)
 	outboundListener.StopAccepting()
 	n.waitUntil(deadline, func() bool { return outboundListener.BusyConns() == 0 && callListener.BusyConns() == 0 })
 	for _, l := range listeners {
