h1: Send a failed request on another connection when it is sent again

A backend server refused a request, and its node sent the same request to it again on the same kept connection. A server that then wrote its first refusal once more was believed, since the refusal bears the right id: the node reported "not run" for a request that the server was running, and the ingress node sent it on once more. Cause: the id of a request tells copies of other requests' responses apart, but not those of its own earlier send. Ruled out: copies that arrive while the connection is idle (unread bytes close it), and those that bear another id or none (skipped). Change: a connection records the ids of requests that got no success on it and does not carry them again; after 16 such requests it is closed. Requests that got a success are never sent again. Ruled out: closing after each refusal, as new connections are dear for a server that is short of room. Elsewhere: between nodes the other end is a node, which writes one response a request; calls to the store are cancelled by closing their connection.

--- a/h1/client.go
+++ b/h1/client.go
@@ -119,7 +119,7 @@
 		return nil, &Error{addr: addr, op: "connect to", err: context.Cause(ctx)}
 	default:
 	}
-	conn, err := c.connect(ctx, addr)
+	conn, err := c.connect(ctx, addr, c.requestID(r.Header))
 	if err != nil {
 		return nil, &Error{addr: addr, op: "connect to", err: err}
 	}
@@ -137,8 +137,17 @@
 	return resp, nil
 }
 
-func (c *Client) connect(ctx context.Context, addr string) (*persistConn, error) {
-	if conn := c.pool.popOpen(addr); conn != nil {
+// requestID returns the request id in a header, "" if the server returns none.
+func (c *Client) requestID(h http.Header) string {
+	if c.opts.RequestIDHeader == "" {
+		return ""
+	}
+	return h.Get(c.opts.RequestIDHeader)
+}
+
+// connect returns a connection on which the request with the id has not failed.
+func (c *Client) connect(ctx context.Context, addr, id string) (*persistConn, error) {
+	if conn := c.pool.popOpen(addr, id); conn != nil {
 		return conn, nil
 	}
 	raw, err := c.opts.Dial(ctx, "tcp", addr)
@@ -235,13 +244,14 @@
 
 // receive returns the response to r and discards responses to other requests.
 func (x *exchange) receive(r *Request) (*Response, error) {
+	id := x.client.requestID(r.Header)
 	for range maxSkippedResponses {
 		resp, err := x.readHeader(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		if x.client.opts.RequestIDHeader == "" || resp.Header.Get(x.client.opts.RequestIDHeader) == r.Header.Get(x.client.opts.RequestIDHeader) {
-			return x.acceptResponse(resp), nil
+		if x.client.requestID(resp.Header) == id {
+			return x.acceptResponse(resp, id), nil
 		}
 		if err := discardResponse(resp); err != nil {
 			return nil, fmt.Errorf("%w: %w", errOtherRequest, err)
@@ -284,10 +294,14 @@
 	return err
 }
 
-// acceptResponse also sets whether and how long the connection can be reused.
-func (x *exchange) acceptResponse(resp *http.Response) *Response {
+// acceptResponse also sets whether, for how long and for which requests the
+// connection can be reused.
+func (x *exchange) acceptResponse(resp *http.Response, id string) *Response {
 	x.idleTimeout = idleTimeoutOf(resp.Header)
-	if resp.Close || x.idleTimeout <= 0 {
+	if resp.StatusCode/100 != 2 && id != "" {
+		x.conn.failedIDs = append(x.conn.failedIDs, id)
+	}
+	if resp.Close || x.idleTimeout <= 0 || len(x.conn.failedIDs) > maxFailedIDs {
 		x.reusable = false
 	}
 	return &Response{
--- a/h1/client_test.go
+++ b/h1/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -153,6 +154,54 @@
 	require.Equal(t, want["kept"], strconv.FormatBool(len(c.pool.idle[addr]) == 1))
 }
 
+// doOnce sends a request and reads the complete response.
+func doOnce(c *Client, addr string, r *Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	resp, err := c.Do(ctx, addr, r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.ReadAll(resp.Body)
+	return resp, errors.Join(err, resp.Body.Close())
+}
+
+// Guards against taking a late copy of a request's first response for the response
+// to its second send: a request that failed on a connection must use another one.
+func TestFailedRequestChangesConnection(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: one\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	addr, _ := serveScript(t, serverScript{response: refusal})
+	c := newTestClient()
+	for sends := 1; sends <= 3; sends++ {
+		_, err := doOnce(c, addr, newGet())
+		require.NoError(t, err)
+		require.Len(t, c.pool.idle[addr], sends)
+	}
+}
+
+// Guards against a connection recording failed requests without bound, and against
+// opening a connection for each of them.
+func TestFailedRequestsOfConnection(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	defer srv.Close()
+	opened := 0
+	c := NewClient(Options{
+		Clock: clockwork.NewRealClock(), Dial: (&net.Dialer{}).DialContext, RequestIDHeader: "X-Request-Id",
+		ConnOpened: func(string) { opened++ },
+	})
+	defer c.Close()
+	for i := range 3 * maxFailedIDs {
+		r := newGet()
+		r.Header.Set("X-Request-Id", strconv.Itoa(i))
+		_, err := doOnce(c, srv.Listener.Addr().String(), r)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 3, opened)
+}
+
 // Guards against the retry that net/http's Transport makes: a GET whose
 // persistent connection breaks must be sent once, with an unknown outcome.
 func TestNoResend(t *testing.T) {
--- a/h1/pool.go
+++ b/h1/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +26,15 @@
 	received int64
 	// expiresAt is when an idle connection is no longer used.
 	expiresAt time.Time
+	// failedIDs are the ids of the requests that got no successful response on this
+	// connection, at most maxFailedIDs. None of them may be sent on it again: a late
+	// copy of its first response would be taken for the response to the second send.
+	failedIDs []string
 }
 
+// maxFailedIDs limits the failed requests of a connection that is reused.
+const maxFailedIDs = 16
+
 // noHeadLimit is a value of headBytesLeft that no connection uses up.
 const noHeadLimit = math.MaxInt64
 
@@ -60,11 +68,11 @@
 	closed bool
 }
 
-// popOpen removes and returns an idle connection that appears to be open, or
-// returns nil.
-func (p *pool) popOpen(addr string) *persistConn {
+// popOpen removes and returns an idle connection that appears to be open and on
+// which the request with the id has not failed, or returns nil.
+func (p *pool) popOpen(addr, id string) *persistConn {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, id)
 		if c == nil {
 			return nil
 		}
@@ -75,16 +83,18 @@
 	}
 }
 
-func (p *pool) pop(addr string) *persistConn {
+func (p *pool) pop(addr, id string) *persistConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if id != "" && slices.Contains(c.failedIDs, id) {
+			continue
+		}
+		p.idle[addr] = slices.Delete(list, i, i+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put keeps a connection for the given time, or closes it if there is no room.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -168,6 +168,39 @@
 	}
 }
 
+// Guards against telling the caller that a request has not run, or sending it on,
+// because the server repeats its first refusal while it runs the request.
+func TestRepeatedRefusal(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	one := f.add(standin.AppOptions{ID: "i-1", Service: "one", Slots: 10, Fault: func(id string) standin.AppFault {
+		if strings.HasPrefix(id, "twice") {
+			return standin.AppRefuseTwice
+		}
+		return ""
+	}})
+	f.applyConfig(1, routeTo("one", "/x/", "unsafe"), routeTo("shop", "/shop/", "safe"))
+	ran := 0
+	for i := range 20 {
+		for j := range 40 {
+			r := shop.send(callerRequest{path: "/x/", id: fmt.Sprintf("earns a permit %d.%d", i, j)})
+			require.Equal(t, http.StatusOK, r.status)
+		}
+		id := fmt.Sprint("twice", i)
+		r := shop.send(callerRequest{path: "/x/", id: id})
+		require.NoError(t, r.err)
+		if one.app.Runs(id) == 0 {
+			require.Equal(t, http.StatusServiceUnavailable, r.status)
+			continue
+		}
+		ran++
+		require.Equal(t, 1, one.app.Runs(id))
+		require.Equal(t, http.StatusOK, r.status, "request %s has run", id)
+		require.Equal(t, standin.AppBody("i-1", id), r.body)
+	}
+	require.Positive(t, ran, "requests are sent again after a refusal")
+}
+
 // Guards against a server that sends bytes without end counting as healthy and
 // holding its slot and connection.
 func TestEndlessResponse(t *testing.T) {
--- a/standin/app.go
+++ b/standin/app.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,6 +29,9 @@
 	AppFail AppFault = "fail"
 	// AppEndless runs the request and sends a header without end.
 	AppEndless AppFault = "endless"
+	// AppRefuseTwice refuses the request. When it arrives again on the same
+	// connection, the app sends the refusal once more and runs the request.
+	AppRefuseTwice AppFault = "refusetwice"
 )
 
 // AppOptions configures an App.
@@ -68,8 +72,14 @@
 	bodies, targets map[string]string
 	unanswered      int
 	arrivals        []Arrival
+	// refusedOn are the connections of the first arrivals that AppRefuseTwice
+	// refused, by request id.
+	refusedOn map[string]net.Conn
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 // Arrival is one request that reached an App, whether it ran or not.
 type Arrival struct {
 	ID string
@@ -94,7 +104,7 @@
 func NewApp(opts AppOptions) *App {
 	return &App{
 		opts: opts, startedAt: time.Now(), runCounts: make(map[string]int), headers: make(map[string]http.Header),
-		bodies: make(map[string]string), targets: make(map[string]string),
+		bodies: make(map[string]string), targets: make(map[string]string), refusedOn: make(map[string]net.Conn),
 	}
 }
 
@@ -110,7 +120,10 @@
 
 // Serve serves the connections of a listener until Stop.
 func (a *App) Serve(ln net.Listener) {
-	a.http = &http.Server{Handler: a, ReadHeaderTimeout: 10 * time.Second}
+	a.http = &http.Server{
+		Handler: a, ReadHeaderTimeout: 10 * time.Second,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 	go func() { _ = a.http.Serve(ln) }()
 }
 
@@ -192,7 +205,7 @@
 	if a.opts.Fault != nil {
 		fault = a.opts.Fault(id)
 	}
-	if fault == AppShed {
+	if fault == AppShed || fault == AppRefuseTwice && a.recordRefusal(id, r) {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -210,6 +223,25 @@
 	a.respond(w, r, id, fault)
 }
 
+// recordRefusal records the connection of a request's first arrival, and reports
+// whether this is the first one.
+func (a *App) recordRefusal(id string, r *http.Request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, again := a.refusedOn[id]; again {
+		return false
+	}
+	a.refusedOn[id] = r.Context().Value(connKey{}).(net.Conn)
+	return true
+}
+
+// refusedOnConn reports whether the request was refused on its connection before.
+func (a *App) refusedOnConn(id string, r *http.Request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refusedOn[id] == r.Context().Value(connKey{})
+}
+
 func (a *App) acquireSlot(id string, r *http.Request, body string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -253,6 +285,8 @@
 		a.respondTwice(w, id, body)
 	case fault == AppEndless:
 		respondWithoutEnd(w)
+	case fault == AppRefuseTwice && a.refusedOnConn(id, r):
+		writeRaw(w, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: "+id+"\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	default:
 		_, _ = io.WriteString(w, body)
 	}
@@ -274,6 +308,17 @@
 	}
 }
 
+// writeRaw writes bytes in place of a response and closes the connection.
+func writeRaw(w http.ResponseWriter, raw string) {
+	c, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_, _ = buf.WriteString(raw)
+	_ = buf.Flush()
+}
+
 // respondWithoutEnd writes a header until the connection is closed.
 func respondWithoutEnd(w http.ResponseWriter) {
 	c, buf, err := http.NewResponseController(w).Hijack()
