trial: Check that configurations come into force, rate limits and announced leaving

It had silent outages of the store, of at most 2.3 s, and no check of when a change is in force; it checked only that none is undone. It played no header that announces a limit or leaving. Change: each version must be served 2 s after the store accepted it, by nodes that no fault disturbed for 3 s; an outage that outlasts the nodes' calls; servers that limit their rate, announce in responses that they leave, break off in a header, or repeat a refusal. A store outage does not excuse requests to a server that announced it leaves.

--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -75,8 +76,10 @@
 	records       []requestRecord
 	events        []event
 	configVersion int
-	faultNames    []string
-	appStarts     int
+	// configStored is when the store had accepted each version.
+	configStored map[int]time.Time
+	faultNames   []string
+	appStarts    int
 }
 
 // meshVM is one VM: a node in its own process, a backend server, and proxies
@@ -93,9 +96,14 @@
 	storeProxy              *proxy
 	nodeStarts              int
 	appFault                sync.Map // its key "" holds the active standin.AppFault
-	replacementStart        time.Time
+	// announcement is a header that the backend server adds to its responses.
+	announcement     atomic.Pointer[announcement]
+	replacementStart time.Time
 }
 
+// announcement is a header by which a backend server announces something.
+type announcement struct{ name, value string }
+
 // requestRecord is one request as its caller observed it.
 type requestRecord struct {
 	id, path          string
@@ -135,7 +143,9 @@
 // injects random faults from outside, and checks the guarantees against what
 // callers and backend servers observed. The error lists the violations.
 func MeshSoak(ctx context.Context, opts MeshOptions) error {
-	s := &meshSoak{opts: opts, random: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), store: standin.NewStore()}
+	s := &meshSoak{
+		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), store: standin.NewStore(), configStored: make(map[int]time.Time),
+	}
 	defer s.close()
 	if err := s.launch(); err != nil {
 		return err
@@ -249,6 +259,11 @@
 			}
 			return f.(standin.AppFault)
 		},
+		SetHeaders: func(h http.Header) {
+			if a := vm.announcement.Load(); a != nil {
+				h.Set(a.name, a.value)
+			}
+		},
 	}
 	if vm.service == "front" {
 		opts.Calls = []string{meshHost + "/deep/x", meshHost + "/deep/y"}
@@ -256,6 +271,7 @@
 	vm.app = standin.NewApp(opts)
 	vm.allApps = append(vm.allApps, vm.app)
 	vm.replacementStart = time.Time{}
+	vm.announcement.Store(nil)
 	if err := vm.app.Start(); err != nil {
 		return eris.Wrap(err, "start a backend server")
 	}
@@ -299,6 +315,7 @@
 		routes = append(routes, route(fmt.Sprintf("v%d", v), fmt.Sprintf("/v%d/", v), "safe", "deep", 2))
 	}
 	s.store.PutConfig(s.configVersion, routes)
+	s.configStored[s.configVersion] = time.Now()
 }
 
 // close stops everything that the run started.
--- a/trial/mesh_check.go
+++ b/trial/mesh_check.go
@@ -16,6 +16,15 @@
 	// meshNewWorkLimit is how long a draining backend server may still receive
 	// new work.
 	meshNewWorkLimit = 3 * time.Second
+	// meshConfigLimit is how long after the store accepted a configuration all nodes
+	// that no fault disturbs must act on it.
+	meshConfigLimit = 2 * time.Second
+	// meshLimitFactor and meshLimitSlack bound the requests to a backend server that
+	// limits their rate, in each meshLimitWindow that begins meshLimitSettleTime after
+	// it first named the limit.
+	meshLimitFactor, meshLimitSlack = 1.5, 5
+	meshLimitWindow                 = 4 * time.Second
+	meshLimitSettleTime             = 3 * time.Second
 	// minServedFraction is the least fraction of requests served after recovery.
 	minServedFraction = 0.8
 	// maxViolations bounds the violations that are listed.
@@ -52,7 +61,9 @@
 		violations = append(violations, s.checkRequest(r, runs[r.id])...)
 	}
 	violations = append(violations, s.checkNoRollback()...)
+	violations = append(violations, s.checkConfigInForce()...)
 	violations = append(violations, s.checkRetryBudget(arrivals)...)
+	violations = append(violations, s.checkLimit(arrivals)...)
 	violations = append(violations, s.checkDrain(arrivals)...)
 	violations = append(violations, s.checkRecovery(recoveredAt)...)
 	if len(violations) > maxViolations {
@@ -121,6 +132,58 @@
 	return violations
 }
 
+// checkConfigInForce checks that a node serves the route of each version from
+// meshConfigLimit after the store accepted it, unless a fault of the store or of the
+// node's VM has lasted into the time before the request.
+func (s *meshSoak) checkConfigInForce() []string {
+	var violations []string
+	for _, r := range s.records {
+		if r.configVersion == 0 || r.err != nil || r.status != http.StatusNotFound {
+			continue
+		}
+		age := r.begin.Sub(s.configStored[r.configVersion])
+		disturbed := s.overlaps(r.begin.Add(-faultSettleTime), r.begin, func(e event) bool {
+			return e.blocksStore || (e.unplanned || e.stopsNode) && e.affects(r.vm)
+		})
+		if age > meshConfigLimit && !disturbed {
+			violations = append(violations, fmt.Sprintf("request %s: version %d is not active at vm %d after %s", r.id, r.configVersion, r.vm, age))
+		}
+	}
+	return violations
+}
+
+// overlaps reports whether an event that matches overlapped with a time span.
+func (s *meshSoak) overlaps(from, to time.Time, match func(event) bool) bool {
+	return slices.ContainsFunc(s.events, func(e event) bool {
+		return match(e) && e.start.Before(to) && e.end.After(from)
+	})
+}
+
+// checkLimit checks the requests to each backend server that named a rate limit.
+func (s *meshSoak) checkLimit(arrivals []arrival) []string {
+	allowed := int(meshLimitFactor*meshServerLimit*meshLimitWindow.Seconds()) + meshLimitSlack
+	var violations []string
+	for _, e := range s.events {
+		if e.kind != "app-limit" {
+			continue
+		}
+		var times []time.Time
+		for _, a := range arrivals {
+			if a.appID == e.appID && a.At.After(e.start.Add(meshLimitSettleTime)) && a.At.Before(e.end) {
+				times = append(times, a.At)
+			}
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		for i, at := range times {
+			if i >= allowed && at.Sub(times[i-allowed]) < meshLimitWindow {
+				violations = append(violations, fmt.Sprintf("%s got over %d requests within %s, limit %d a second", e.appID, allowed, meshLimitWindow, meshServerLimit))
+				break
+			}
+		}
+	}
+	return violations
+}
+
 // checkRetryBudget checks the retries to each service in each window.
 func (s *meshSoak) checkRetryBudget(arrivals []arrival) []string {
 	byService := make(map[string][]arrival)
@@ -161,33 +224,32 @@
 }
 
 // checkDrain checks that no request reaches a backend server later than
-// meshNewWorkLimit after it began to drain, unless a fault kept its node from
-// observing that.
+// meshNewWorkLimit after it began to drain or to announce in its responses that it
+// leaves, unless a fault kept its node from observing or remembering that.
 func (s *meshSoak) checkDrain(arrivals []arrival) []string {
+	excuses := map[string]func(vm int, e event) bool{
+		"drain": func(vm int, e event) bool { return e.blocksStore || e.unplanned && e.affects(vm) },
+		"leave": func(vm int, e event) bool { return (e.unplanned || e.stopsNode) && e.affects(vm) },
+	}
 	var violations []string
-	for _, e := range s.events {
-		if e.kind != "drain" {
+	for _, leaving := range s.events {
+		excuse := excuses[leaving.kind]
+		if excuse == nil {
 			continue
 		}
 		for _, a := range arrivals {
-			if a.appID == e.appID && a.At.After(e.start.Add(meshNewWorkLimit)) && s.couldReachStore(e.firstVM, e.start.Add(-faultSettleTime), a.At) {
-				violations = append(violations, fmt.Sprintf("request %s reached %s %s after it began to drain", a.ID, a.appID, a.At.Sub(e.start)))
+			if a.appID != leaving.appID || !a.At.After(leaving.start.Add(meshNewWorkLimit)) {
+				continue
+			}
+			excused := s.overlaps(leaving.start.Add(-faultSettleTime), a.At, func(e event) bool { return excuse(leaving.firstVM, e) })
+			if !excused {
+				violations = append(violations, fmt.Sprintf("request %s reached %s %s after it began to %s", a.ID, a.appID, a.At.Sub(leaving.start), leaving.kind))
 			}
 		}
 	}
 	return violations
 }
 
-// couldReachStore reports whether no fault kept a VM's node from the store.
-func (s *meshSoak) couldReachStore(vm int, from, to time.Time) bool {
-	for _, e := range s.events {
-		if (e.blocksStore || e.unplanned && e.affects(vm)) && e.start.Before(to) && e.end.After(from) {
-			return false
-		}
-	}
-	return true
-}
-
 // checkRecovery checks that requests are served again after the kill-all.
 func (s *meshSoak) checkRecovery(recoveredAt time.Time) []string {
 	sent, served := 0, 0
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -15,6 +16,12 @@
 	meshFaultDuration = 1500 * time.Millisecond
 	// meshDrainDuration is how long a draining backend server still serves.
 	meshDrainDuration = 5 * time.Second
+	// meshOutageDuration outlasts the nodes' calls to the store.
+	meshOutageDuration = 5 * time.Second
+	// meshLimitDuration outlasts meshLimitSettleTime and one meshLimitWindow.
+	meshLimitDuration = 9 * time.Second
+	// meshServerLimit is the requests per second that a limited backend server takes.
+	meshServerLimit = 8
 )
 
 // meshFault is a kind of fault or planned change. begin starts it at a VM and
@@ -104,6 +111,7 @@
 	}},
 	{name: "store-busy", begin: storeFault(standin.StoreBusy), blocksStore: true},
 	{name: "store-silent", begin: storeFault(standin.StoreSilent), blocksStore: true},
+	{name: "store-outage", begin: storeFault(standin.StoreSilent), duration: meshOutageDuration, blocksStore: true},
 	{name: "store-slow", begin: storeLinksFault(linkSlow)},
 	{name: "store-lost", begin: storeLinksFault(linkBlockResponses), blocksStore: true},
 	{name: "store-refuse", begin: (*meshSoak).refuseGroup, multipleVMs: true},
@@ -117,11 +125,15 @@
 	{name: "app-shed", begin: appFault(standin.AppShed)},
 	{name: "app-fail", begin: appFault(standin.AppFail)},
 	{name: "app-endless", begin: appFault(standin.AppEndless)},
+	{name: "app-cut-head", begin: appFault(standin.AppCutHead)},
+	{name: "app-refuse-twice", begin: appFault(standin.AppRefuseTwice)},
+	{name: "app-limit", begin: (*meshSoak).limitApp, duration: meshLimitDuration},
 	{name: "config", begin: func(s *meshSoak, _ *meshVM) func() {
 		s.putNextConfig()
 		return nil
 	}, planned: true},
 	{name: "drain", begin: (*meshSoak).drainApp, duration: meshDrainDuration, planned: true},
+	{name: "leave", begin: (*meshSoak).announceLeaving, duration: meshDrainDuration, planned: true},
 }
 
 // injectFaults starts faults for opts.Length, and ends all of them.
@@ -288,6 +300,27 @@
 	return func() { s.replaceApp(vm, old) }
 }
 
+// announceLeaving makes the backend server announce in its responses that it
+// leaves, without an entry in the store, and replaces it.
+func (s *meshSoak) announceLeaving(vm *meshVM) func() {
+	old := vm.app
+	if !vm.replacementStart.IsZero() {
+		return nil
+	}
+	vm.replacementStart = time.Now()
+	vm.announcement.Store(&announcement{name: "Server-Leaving", value: "1"})
+	return func() { s.replaceApp(vm, old) }
+}
+
+// limitApp makes the backend server name a rate limit in its responses.
+func (s *meshSoak) limitApp(vm *meshVM) func() {
+	limit := &announcement{name: "Server-Limit", value: strconv.Itoa(meshServerLimit)}
+	if !vm.announcement.CompareAndSwap(nil, limit) {
+		return nil
+	}
+	return func() { vm.announcement.CompareAndSwap(limit, nil) }
+}
+
 // vmGroupDivisor is the inverse of the fraction of VMs in a group.
 const vmGroupDivisor = 3
 
