catalog, mesh: Report that a node leaves reading the store to others

A node that stopped watching the store because others feed it was no longer connected without a line, and logged "store connected" again later; and the check for a stuck watch could outlive its watch. Change: a line "store not read" when a node stops watching; a watch awaits its check. No decision changes. TestReadingStopped needs the callback that did not exist; TestChangeAfterOutage no longer waits for the check by itself.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,9 @@
 	// ConnectionChanged is called with the error when the connection to the store
 	// is lost, and with nil when it is established.
 	ConnectionChanged func(err error)
+	// ReadingStopped is called when this node stops watching the store, because
+	// others do.
+	ReadingStopped func()
 	// CallFailed is called with the error of each failed call, how long the call
 	// took and the pause before the next one.
 	CallFailed func(err error, took, pause time.Duration)
@@ -118,9 +122,7 @@
 	for ctx.Err() == nil {
 		mode := f.opts.Mode()
 		if mode != ReadFresh {
-			f.connected.Store(false)
-			// The nodes that watch the store instead report the end of an outage.
-			f.storeLost = false
+			f.markNotReading()
 			f.readStale(ctx, mode)
 			continue
 		}
@@ -193,8 +195,10 @@
 func (f *Follower) watchOnce(ctx context.Context, wait time.Duration) error {
 	after := f.opts.View.Rev()
 	ctx, cancel := context.WithCancelCause(ctx)
+	var check sync.WaitGroup
+	defer check.Wait()
 	defer cancel(nil)
-	go f.cancelStuckWatch(ctx, cancel, after)
+	check.Go(func() { f.cancelStuckWatch(ctx, cancel, after) })
 	events, rev, err := f.opts.Watch(ctx, after, wait)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
@@ -249,6 +253,16 @@
 	}
 }
 
+// markNotReading forgets the state of the connection. The nodes that watch the
+// store instead report the end of an outage.
+func (f *Follower) markNotReading() {
+	connected := f.connected.Swap(false)
+	if connected || f.storeLost {
+		f.opts.ReadingStopped()
+	}
+	f.storeLost = false
+}
+
 // retryDelay returns the pause before the next call, which doubles with each failure.
 func (f *Follower) retryDelay(failures int) time.Duration {
 	d, maxDelay := initialRetryDelay, f.opts.MaxRetryDelay()
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -203,3 +203,35 @@
 	f.Run(ctx)
 	require.ErrorIs(t, <-lost, errStuckWatch)
 }
+
+// Guards against a node that stops watching the store counting as connected, and
+// against that change of state going unreported.
+func TestReadingStopped(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	modes := []ReadMode{ReadNone, ReadFresh, ReadFresh, ReadNone, ReadNone, ReadFresh, ReadNone}
+	var states []string
+	v := NewView(ViewOptions{Clock: clockwork.NewRealClock()})
+	f := NewFollower(FollowerOptions{
+		Clock: clockwork.NewRealClock(), View: v,
+		Mode: func() ReadMode {
+			if len(modes) == 0 {
+				cancel()
+				return ReadNone
+			}
+			mode := modes[0]
+			modes = modes[1:]
+			return mode
+		},
+		Read:  func(context.Context, bool) (Listing, *Config, error) { return Listing{Rev: 1}, nil, nil },
+		Watch: func(context.Context, uint64, time.Duration) ([]Event, uint64, error) { return nil, 1, nil },
+		ConnectionChanged: func(err error) {
+			require.NoError(t, err)
+			states = append(states, "connected")
+		},
+		ReadingStopped: func() { states = append(states, "stopped") },
+	})
+	f.Run(ctx)
+	require.Equal(t, []string{"connected", "stopped", "connected", "stopped"}, states)
+	require.False(t, f.Connected())
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -176,6 +176,7 @@
 		Clock: n.clock, View: n.view, Read: store.Read, Watch: store.Watch, ConnectionChanged: n.logStoreState, Random: rand.Float64,
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
 		CallFailed:      n.logFailedStoreCall,
+		ReadingStopped:  n.logReadingStopped,
 		StaleReadFailed: func(err error) { n.log.WithField("error", err.Error()).Debug("stale read failed") },
 	})
 	n.controlClient = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: n.controlMetrics, Dial: dial})
@@ -204,6 +205,11 @@
 	n.log.WithFields(fields).Info("store connected")
 }
 
+// logReadingStopped logs that this node leaves reading the store to others.
+func (n *Node) logReadingStopped() {
+	n.log.WithFields(logrus.Fields{"config": n.view.ConfigVersion(), "list": n.view.Rev()}).Info("store not read")
+}
+
 // logFailedStoreCall logs a failed call to the store, with its duration: a call
 // that hangs and one that is refused at once have different causes.
 func (n *Node) logFailedStoreCall(err error, took, pause time.Duration) {
--- a/mesh/outage_test.go
+++ b/mesh/outage_test.go
@@ -85,7 +85,7 @@
 	n.feeder = newFeeder(feederOptions{clock: clock, sync: n.syncer, selfAddr: "10.0.0.1:1", listed: func() bool { return true }})
 	f := catalog.NewFollower(catalog.FollowerOptions{
 		Clock: clock, View: r.view, Read: store.Read, Watch: store.Watch, Mode: n.feeder.readMode, MaxRetryDelay: n.feeder.maxRetryDelay,
-		ConnectionChanged: func(error) {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
+		ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
 		Random: func() float64 { return 1 },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -102,8 +102,6 @@
 		_ = srv.Close()
 		client.Close()
 		wg.Wait()
-		// The last call's check for a stuck watch has ended as well then.
-		synctest.Wait()
 	}
 	return r
 }
