mesh: Begin the feeds to a node with the versions only

The first feed of a reader to each node of its zone carried the whole list and configuration, though nearly all nodes have them: each restart of a reader sent them to the whole zone. Change: the first feed carries the versions, the node responds with its own, and the next one carries what it lacks. It costs a node that lacks something one round trip within its zone. Before: TestFirstFeed, a list for a node that is up to date. After: passes.

--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -54,8 +54,9 @@
 
 // feedTarget is the state of the feeds to one node.
 type feedTarget struct {
-	// known holds the versions that the node reported last.
-	known peer.ViewRequest
+	// known holds the versions that the node reported last, if it has reported any.
+	known    peer.ViewRequest
+	reported bool
 	// sending reports that a feed is in progress.
 	sending bool
 	// resend reports that something changed during the feed.
@@ -149,16 +150,13 @@
 // feed feeds one node until nothing is newer here, at most maxFeedsPerRound times.
 func (f *feeder) feed(ctx context.Context, addr string, target *feedTarget) {
 	for range maxFeedsPerRound {
-		f.mu.Lock()
-		known := target.known
-		f.mu.Unlock()
-		reported, err := f.opts.sendFeed(ctx, addr, peer.Feed{Update: f.opts.sync.updateFor(known), From: f.opts.selfAddr})
+		reported, err := f.opts.sendFeed(ctx, addr, peer.Feed{Update: f.nextUpdate(target), From: f.opts.selfAddr})
 		if err != nil {
 			f.opts.log.WithFields(logrus.Fields{"peer": addr, "error": err.Error()}).Debug("feed failed")
 		}
 		f.mu.Lock()
 		if err == nil {
-			target.known = reported
+			target.known, target.reported = reported, true
 		}
 		// A restarted node has older versions than before; the next feed starts there.
 		again := err == nil && (target.resend || reported.Rev < f.opts.sync.opts.view.Rev() || reported.Version < f.opts.sync.opts.view.ConfigVersion())
@@ -172,3 +170,15 @@
 	target.sending = false
 	f.mu.Unlock()
 }
+
+// nextUpdate returns the update for the next feed to a node. The first one holds
+// the versions only: most nodes are up to date, and a list is large.
+func (f *feeder) nextUpdate(target *feedTarget) peer.Update {
+	f.mu.Lock()
+	known, reported := target.known, target.reported
+	f.mu.Unlock()
+	if !reported {
+		return f.opts.sync.versions()
+	}
+	return f.opts.sync.updateFor(known)
+}
--- a/mesh/feed_test.go
+++ b/mesh/feed_test.go
@@ -82,3 +82,37 @@
 	require.Len(t, f.targets, 2)
 	require.NotContains(t, f.targets, "b")
 }
+
+// Guards against sending the list and the configuration to a node that has them,
+// and against leaving one behind that does not.
+func TestFirstFeed(t *testing.T) {
+	view := catalog.NewView(catalog.ViewOptions{Clock: clockwork.NewFakeClock()})
+	view.ApplyConfig(catalog.NewConfig(catalog.Document{Version: 3}))
+	view.ReplaceServers(catalog.Listing{Rev: 7, Servers: []catalog.Server{{ID: "i-1"}}})
+	for _, tc := range []struct {
+		name     string
+		receiver peer.ViewRequest
+		feeds    int
+	}{
+		{"up to date", peer.ViewRequest{Version: 3, Rev: 7}, 1},
+		{"just started", peer.ViewRequest{}, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			receiver := tc.receiver
+			var sent []peer.Update
+			s := newSyncer(syncerOptions{clock: clockwork.NewFakeClock(), view: view})
+			f := newFeeder(feederOptions{clock: clockwork.NewFakeClock(), sync: s, sendFeed: func(_ context.Context, _ string, feed peer.Feed) (peer.ViewRequest, error) {
+				sent = append(sent, feed.Update)
+				if feed.Update.List != nil {
+					receiver = peer.ViewRequest{Version: feed.Update.Config.Version, Rev: feed.Update.List.Rev}
+				}
+				return receiver, nil
+			}})
+			f.feed(context.Background(), "peer", &feedTarget{})
+			require.Len(t, sent, tc.feeds)
+			require.Nil(t, sent[0].List)
+			require.Nil(t, sent[0].Config)
+			require.Equal(t, peer.ViewRequest{Version: 3, Rev: 7}, receiver)
+		})
+	}
+}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -229,6 +229,11 @@
 	return update
 }
 
+// versions returns an update that holds this node's versions only.
+func (s *syncer) versions() peer.Update {
+	return peer.Update{Rev: s.opts.view.Rev(), Version: s.opts.view.ConfigVersion()}
+}
+
 // addListChanges adds the changes of the list after a revision to the update, or
 // the whole list if they are not known.
 func (s *syncer) addListChanges(update *peer.Update, rev uint64) {
