relay: Keep the bound of 3.5 s after a silent outage on every schedule

Cause: a watch made just before the return takes 2.5 s to fail, a backoff of 1 s with jitter 1.2 s. The sum was above the bound that claims. Change: the backoff is at most 0.5 s; 198 watches then make about 400 reads a second during an outage, limit 2,000.

--- a/relay/read.go
+++ b/relay/read.go
@@ -17,9 +17,9 @@
 	// after it. 198 watches in 22 zones make 132 reads a second.
 	watchWait = 1500 * time.Millisecond
 	// Backoff of a failed watch. It counts towards the same 5 s; 198 watches
-	// make about 260 reads a second then.
+	// make about 400 reads a second then.
 	minBackoff = 250 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff = 500 * time.Millisecond
 	// rejectedReadInterval is the mean time between reads of a key whose last
 	// revision was rejected. The watch waits for a revision above that one, but a
 	// replica that lags may still return an acceptable one below it.
