relay: Pull the other documents after one that was rejected

A pull ended after a round whose large base was rejected, because the next request would have got the same one: the overlay and the VM list behind it never came from that peer. Change: the requests of a pull start after what the peer has sent, accepted or not. Before: TestPullAfterRejected 0 of 2 documents. After: passes.

--- a/relay/message.go
+++ b/relay/message.go
@@ -22,6 +22,19 @@
 	return Revs{Base: max(r.Base, other.Base), Overlay: max(r.Overlay, other.Overlay), VMs: max(r.VMs, other.VMs)}
 }
 
+// with returns r with at least the revision of one document.
+func (r Revs) with(key string, rev uint64) Revs {
+	switch key {
+	case KeyBase:
+		r.Base = max(r.Base, rev)
+	case KeyVMs:
+		r.VMs = max(r.VMs, rev)
+	default:
+		r.Overlay = max(r.Overlay, rev)
+	}
+	return r
+}
+
 // EncodedDocument is a compressed document, or a delta if the receiver has an
 // earlier revision.
 type EncodedDocument struct {
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -106,38 +106,61 @@
 // pullFrom requests all documents above this node's revisions from a peer and
 // returns how many were accepted.
 func (r *Relay) pullFrom(ctx context.Context, vm board.VM) (accepted int, err error) {
-	full := false
+	var round pullRound
 	for range maxPullRounds {
 		r.counters.pulls.Inc()
-		req := PullRequest{From: r.selfName(), ControlAddr: r.opts.Self.VM().ControlAddr(), Site: r.opts.Self.Site(), Have: r.opts.Store.Revs(), Full: full}
+		req := PullRequest{
+			From: r.selfName(), ControlAddr: r.opts.Self.VM().ControlAddr(), Site: r.opts.Self.Site(),
+			Have: r.opts.Store.Revs().Max(round.received), Full: round.full,
+		}
 		reply, err := r.opts.Pull(ctx, vm, req)
 		if err != nil {
 			r.counters.pullFailures.Inc()
 			return accepted, err
 		}
-		anotherRound := reply.More
-		newlyAccepted := 0
-		for _, enc := range reply.Docs {
-			d, err := Decode(enc, deltaBase(enc, r.opts.Store.Current(enc.Key)))
-			if errors.Is(err, errMissingBase) && !full {
-				full, anotherRound = true, true
-				continue
-			}
-			if err != nil {
-				return accepted, err
-			}
-			if r.offer(d, vm.Name()) == Accepted {
-				newlyAccepted++
-			}
-		}
-		accepted += newlyAccepted
-		if !anotherRound || newlyAccepted == 0 && !full {
-			return accepted, nil
+		round, err = r.offerReply(reply, round, vm.Name())
+		accepted += round.accepted
+		if err != nil || !round.again {
+			return accepted, err
 		}
 	}
 	return accepted, nil
 }
 
+// pullRound is the state of a pull after one of its rounds.
+type pullRound struct {
+	// received holds the highest revisions that the peer has sent, accepted or not.
+	// Requests start after them: a document that was rejected must not be sent again
+	// in place of those after it.
+	received Revs
+	// full is set once a delta did not apply.
+	full bool
+	// accepted is the number of documents that the round's reply added.
+	accepted int
+	// again is set if the peer has documents that it did not send.
+	again bool
+}
+
+// offerReply offers the documents of a reply to the store.
+func (r *Relay) offerReply(reply PullReply, last pullRound, from string) (pullRound, error) {
+	round := pullRound{received: last.received, full: last.full, again: reply.More && len(reply.Docs) > 0}
+	for _, enc := range reply.Docs {
+		d, err := Decode(enc, deltaBase(enc, r.opts.Store.Current(enc.Key)))
+		if errors.Is(err, errMissingBase) && !last.full {
+			round.full, round.again = true, true
+			continue
+		}
+		if err != nil {
+			return round, err
+		}
+		round.received = round.received.with(enc.Key, enc.Rev)
+		if r.offer(d, from) == Accepted {
+			round.accepted++
+		}
+	}
+	return round, nil
+}
+
 // HandlePull returns the documents that the sender lacks, and pulls from the
 // sender if that is ahead.
 func (r *Relay) HandlePull(_ context.Context, req PullRequest) (PullReply, error) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -133,6 +133,31 @@
 	require.Equal(t, uint64(3), status.Pulls)
 }
 
+// Guards against a document that is rejected keeping the peer's other ones from
+// this node.
+func TestPullAfterRejected(t *testing.T) {
+	s := newSoloRelay("a")
+	large := make([]byte, maxPullReplySize)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(large)
+	vms := NewDocument(KeyVMs, 3, large)
+	overlay := NewDocument(OverlayKey("a"), 3, []byte("o"))
+	peer := newSoloRelay("a")
+	require.Equal(t, Accepted, peer.offer(vms, ""))
+	require.Equal(t, Accepted, peer.offer(overlay, ""))
+	rejected := NewDocument(KeyBase, 3, []byte("bad"))
+	s.onPull = func(q PullRequest) (PullReply, error) {
+		if q.Have.Base < 3 {
+			return PullReply{Docs: []EncodedDocument{Encode(rejected, Document{})}, More: true}, nil
+		}
+		return peer.HandlePull(t.Context(), q)
+	}
+	vm, _ := s.opts.Members().Get("vm-0001")
+	accepted, err := s.pullFrom(t.Context(), vm)
+	require.NoError(t, err)
+	require.Equal(t, 2, accepted)
+	require.Equal(t, Revs{Overlay: 3, VMs: 3}, s.opts.Store.Revs())
+}
+
 // Guards against a tree that misses nodes, has cycles, is too wide or too deep,
 // or has more than one edge into a zone.
 func TestTreeShape(t *testing.T) {
