--- a/member/leave.go
+++ b/member/leave.go
@@ -45,6 +45,7 @@
 	defer m.mu.Unlock()
 	s, ok := m.senders[name]
 	if !ok && len(m.senders) >= maxSenders {
+		m.counters.droppedSenders.Inc()
 		return
 	}
 	s.lastSeen = now
--- a/member/member.go
+++ b/member/member.go
@@ -93,7 +93,7 @@
 
 // counters are the metrics of a Membership.
 type counters struct {
-	pauses, unrefreshedPauses, heartbeats, heartbeatFailures, leaveNotices, leaveFailures, droppedTasks *metrics.Counter
+	pauses, unrefreshedPauses, heartbeats, heartbeatFailures, leaveNotices, leaveFailures, droppedTasks, droppedSenders *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -102,6 +102,7 @@
 		pauses: newCounter("pauses"), unrefreshedPauses: newCounter("unrefreshed_pauses"),
 		heartbeats: newCounter("beats"), heartbeatFailures: newCounter("beat_failures"),
 		leaveNotices: newCounter("leaves"), leaveFailures: newCounter("leave_failures"), droppedTasks: newCounter("dropped_tasks"),
+		droppedSenders: newCounter("dropped_senders"),
 	}
 }
 
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -86,6 +86,19 @@
 	require.Equal(t, n.board.Self().Incarnation(), p.Incarnation)
 }
 
+// Guards against a full table of senders dropping new ones, which get no leave
+// notice, without a count.
+func TestDroppedSenders(t *testing.T) {
+	s := startNineNodes(t)
+	m := s.nodes["vm-0004"].member
+	known := len(m.senders)
+	for i := range maxSenders {
+		m.RecordCall(fmt.Sprint("caller-", i))
+	}
+	require.Len(t, m.senders, maxSenders)
+	require.Equal(t, uint64(known), m.counters.droppedSenders.Get())
+}
+
 // Guards against control traffic that grows with the number of callers: a service
 // that 120 nodes call and that calls none.
 func TestHeartbeatIntervalGrowsWithCallers(t *testing.T) {
