trial: Make outages of the store likely to leave calls hanging

The nodes' calls have to begin together shortly before the outage and a change must follow its end. Change: the soak's outage takes 2.5 to 7.5 s between two configurations.

--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -16,8 +16,10 @@
 	meshFaultDuration = 1500 * time.Millisecond
 	// meshDrainDuration is how long a draining backend server still serves.
 	meshDrainDuration = 5 * time.Second
-	// meshOutageDuration outlasts the nodes' calls to the store.
+	// meshOutageDuration is the mean duration of an outage that outlasts calls to the
+	// store, meshCallPause how long a node pauses at most between two calls.
 	meshOutageDuration = 5 * time.Second
+	meshCallPause      = 300 * time.Millisecond
 	// meshLimitDuration outlasts meshLimitSettleTime and one meshLimitWindow.
 	meshLimitDuration = 9 * time.Second
 	// meshServerLimit is the requests per second that a limited backend server takes.
@@ -29,8 +31,10 @@
 type meshFault struct {
 	name  string
 	begin func(s *meshSoak, vm *meshVM) (end func())
-	// duration is random around meshFaultDuration if 0.
-	duration time.Duration
+	// duration is the duration, or its mean if randomLength is set; 0 means a random
+	// one around meshFaultDuration.
+	duration     time.Duration
+	randomLength bool
 	// planned changes must not disturb any request.
 	planned bool
 	// stopsNode is set if the node is stopped as planned.
@@ -111,7 +115,7 @@
 	}},
 	{name: "store-busy", begin: storeFault(standin.StoreBusy), blocksStore: true},
 	{name: "store-silent", begin: storeFault(standin.StoreSilent), blocksStore: true},
-	{name: "store-outage", begin: storeFault(standin.StoreSilent), duration: meshOutageDuration, blocksStore: true},
+	{name: "store-outage", begin: (*meshSoak).storeOutage, duration: meshOutageDuration, randomLength: true, blocksStore: true},
 	{name: "store-slow", begin: storeLinksFault(linkSlow)},
 	{name: "store-lost", begin: storeLinksFault(linkBlockResponses), blocksStore: true},
 	{name: "store-refuse", begin: (*meshSoak).refuseGroup, multipleVMs: true},
@@ -168,8 +172,8 @@
 		f := s.pickFault()
 		vm := s.vms[s.random.IntN(len(s.vms))]
 		duration := f.duration
-		if duration == 0 {
-			duration = time.Duration((0.5 + s.random.Float64()) * float64(meshFaultDuration))
+		if duration == 0 || f.randomLength {
+			duration = time.Duration((0.5 + s.random.Float64()) * float64(max(f.duration, meshFaultDuration)))
 		}
 		s.withLock(func() {
 			if end := s.beginFault(f, vm, duration); end != nil {
@@ -300,6 +304,19 @@
 	return func() { s.replaceApp(vm, old) }
 }
 
+// storeOutage makes the store silent between two configurations. The first one
+// makes all nodes begin a call shortly before the outage, and the second one is
+// stored as soon as the store is back, while calls made during the outage may hang.
+func (s *meshSoak) storeOutage(_ *meshVM) func() {
+	s.putNextConfig()
+	silence := time.AfterFunc(meshCallPause, func() { s.store.SetMode(standin.StoreSilent) })
+	return func() {
+		silence.Stop()
+		s.store.SetMode(standin.StoreUp)
+		s.putNextConfig()
+	}
+}
+
 // announceLeaving makes the backend server announce in its responses that it
 // leaves, without an entry in the store, and replaces it.
 func (s *meshSoak) announceLeaving(vm *meshVM) func() {
