trial: Excuse a node that SIGTERM ends before its first line

Trace: the log of that process, node-4-2, is empty. The soak restarted the node and stopped it again at once, and the signal came before main had installed a handler. Allowed: such a process has opened no listener and cuts nobody off. Change: only a process that SIGTERM ended and that wrote no line is excused; the check of exit status stays for all others.

--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -253,7 +253,7 @@
 			s.recordFailure(vm, "stop: exceeded the grace period")
 			node.Kill()
 		}
-		if node.exitErr != nil && !node.killed {
+		if node.exitErr != nil && !node.killed && !node.endedBeforeStart() {
 			s.recordFailure(vm, "stop: "+node.exitErr.Error())
 		}
 		if node == vm.node {
--- a/trial/process.go
+++ b/trial/process.go
@@ -92,6 +92,13 @@
 	return nil
 }
 
+// endedBeforeStart reports whether SIGTERM ended the process before it wrote its
+// first line. No handler of it can be installed then, and it serves nobody yet.
+func (p *Process) endedBeforeStart() bool {
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM && p.logTail() == ""
+}
+
 // logTail returns the end of the process's output.
 func (p *Process) logTail() string {
 	b, err := os.ReadFile(p.logFile)
