mesh: Use a server again that left the list and started under its id

A server that had announced that it leaves, or a rate limit, was removed from the list and started again under its id was refused by its own node, or limited, until that node restarted: callers lost the server. Cause: the node compared the start of an incarnation with that of the entry before, and there was none after a removal. Change: the announcements keep the start of the incarnation that made them. Before: TestServerLeavingListedAgain/started_again refused. After: passes; an entry of the same incarnation that comes back is still refused.

--- a/mesh/announced.go
+++ b/mesh/announced.go
@@ -23,9 +23,11 @@
 	gate *admit.Gate
 
 	mu sync.Mutex
-	// instance is the incarnation that the fields below belong to, empty until the
-	// first one responds or is listed.
-	instance string
+	// instance and startedMillis name the incarnation that the fields below belong
+	// to. instance is empty until the first one responds or is listed, startedMillis 0
+	// until it is listed.
+	instance      string
+	startedMillis int64
 	// limit is the rate limit in requests per second; rate.Inf without one.
 	limit rate.Limit
 	// limitedAt is when a response last named a limit.
@@ -38,15 +40,17 @@
 	return &announced{log: log, gate: gate, limit: rate.Inf}
 }
 
-// setInstance sets the listed incarnation. It forgets the announcements of the
-// previous one; restarted reports that this one has the same id as that.
-func (a *announced) setInstance(instance string, restarted bool) {
+// setInstance sets the listed incarnation, by its id and its start in Unix
+// milliseconds, and forgets the announcements of another one.
+func (a *announced) setInstance(instance string, startedMillis int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if instance == a.instance && !restarted {
+	same := instance == a.instance && (startedMillis == a.startedMillis || a.startedMillis == 0)
+	a.instance, a.startedMillis = instance, startedMillis
+	if same {
 		return
 	}
-	a.instance, a.leaving = instance, false
+	a.leaving = false
 	a.setLimit(rate.Inf)
 }
 
--- a/mesh/announced_test.go
+++ b/mesh/announced_test.go
@@ -58,7 +58,7 @@
 		clock: clock, log: log, gate: gate, http: client, metrics: operator.NewMetrics(), bodyMemory: semaphore.NewWeighted(1 << 20),
 		addr: "app:1", leaving: func() bool { return false },
 	})
-	f.backend.setServer(&catalog.Server{ID: opts.ID, Slots: opts.Slots}, nil)
+	f.backend.setServer(&catalog.Server{ID: opts.ID, Slots: opts.Slots, StartedMillis: 1}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.wg.Go(func() {
 		for ctx.Err() == nil {
@@ -163,7 +163,7 @@
 		}
 		arrivalsIn(time.Second)
 		require.LessOrEqual(t, arrivalsIn(2*time.Second), 5)
-		f.backend.setServer(&catalog.Server{ID: "i-1", Slots: 20, StartedMillis: 1}, nil)
+		f.backend.setServer(&catalog.Server{ID: "i-1", Slots: 20, StartedMillis: 2}, nil)
 		require.GreaterOrEqual(t, arrivalsIn(100*time.Millisecond), 4, "a restarted server starts without a limit")
 		arrivalsIn(time.Second)
 		require.LessOrEqual(t, arrivalsIn(2*time.Second), 5, "its responses name the limit again")
@@ -199,7 +199,41 @@
 			require.Less(t, a.At.Sub(left), changeBound, "request after the server announced that it leaves")
 		}
 		leaving.Store(false)
-		f.backend.setServer(&catalog.Server{ID: "i-1", Slots: 20, StartedMillis: 1}, nil)
+		f.backend.setServer(&catalog.Server{ID: "i-1", Slots: 20, StartedMillis: 2}, nil)
 		f.sendFor(time.Second, 20, func(r result) { require.Equal(t, frame.Answered, r.outcome, "a new incarnation under the same id") })
 	})
 }
+
+// Guards against never using a server again that left the list and started under its
+// id, and against using one whose entry is only missing from the list for a while.
+func TestServerLeavingListedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		startedMillis int64
+		outcome       frame.Outcome
+	}{
+		{"same incarnation", 1, frame.NotRun},
+		{"started again", 2, frame.Answered},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var leaving atomic.Bool
+				leaving.Store(true)
+				f := startBackendFixture(standin.AppOptions{
+					ID: "i-1", Slots: 20,
+					SetHeaders: func(h http.Header) {
+						if leaving.Load() {
+							h.Set("Server-Leaving", "1")
+						}
+					},
+				})
+				defer f.stop()
+				f.sendFor(time.Second, 1, func(r result) { require.Equal(t, frame.Answered, r.outcome) })
+				leaving.Store(false)
+				f.backend.setServer(nil, nil)
+				f.backend.setServer(&catalog.Server{ID: "i-1", Slots: 20, StartedMillis: tc.startedMillis}, nil)
+				f.sendFor(time.Second, 5, func(r result) { require.Equal(t, tc.outcome, r.outcome) })
+			})
+		})
+	}
+}
--- a/mesh/localbackend.go
+++ b/mesh/localbackend.go
@@ -201,7 +201,7 @@
 	}
 	b.goneIDs.Store(&gone)
 	if local != nil {
-		b.announced.setInstance(local.ID, prev != nil && prev.StartedMillis != local.StartedMillis)
+		b.announced.setInstance(local.ID, local.StartedMillis)
 	}
 	return prev
 }
