mesh: Keep the leaving state of a peer while its entry is missing

The state of a peer was deleted with its entry, also when a store outage removed and restored the entry: this node chose a server again that had announced that it leaves. And the start of a server that was removed with requests in flight was forgotten, so that one that started again under its id stayed leaving for good. Before: TestLeavingPeerListedAgain fails for the same incarnation without requests in flight and for one started again with some (checked with both mechanisms off). After: passes.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -84,9 +84,8 @@
 	leaving, backendClosed, callersClosed atomic.Bool
 	// grace is the shutdown grace period, a time.Duration.
 	grace atomic.Int64
-	// startedMillis holds the start of each listed server by id. Only applyServers
-	// accesses it, whose calls do not overlap.
-	startedMillis map[string]int64
+	// incarnations is used by applyServers, whose calls do not overlap.
+	incarnations *incarnations
 }
 
 // dialFunc is the type of net.Dialer.DialContext.
@@ -109,6 +108,7 @@
 	n.board = board.New(board.NewSelf(board.NewVM(board.VMFields{
 		Name: s.VM(), Zone: s.Zone(), Region: s.Region(), Service: s.Service(),
 	}), s.Region(), self))
+	n.incarnations = newIncarnations(clock, n.board.Peers())
 	n.gate = admit.NewGate(admit.Options{
 		Clock: clock, Limits: admit.Limits{Slots: 1, MaxConnections: 1, Enabled: true},
 		// The list sets the number of slots when it arrives.
@@ -248,8 +248,7 @@
 	}
 	n.board.SetMembers(board.NewMembers(n.view.Rev(), vms))
 	n.feeder.notify()
-	n.deleteRemovedPeers(current)
-	n.resetRestarted(current)
+	n.incarnations.update(current)
 	n.syncer.updatePeers(current)
 	n.budgets.setNodes(n.syncer.peerCount() + 1)
 	n.setLocalServer(local, n.localIDs(replaced))
@@ -267,41 +266,6 @@
 	return ids
 }
 
-// deleteRemovedPeers drops the state of unlisted peers without requests in flight.
-func (n *Node) deleteRemovedPeers(servers []catalog.Server) {
-	listed := make(map[string]bool, len(servers))
-	for _, s := range servers {
-		listed[s.ID] = true
-	}
-	var removed []string
-	n.board.Peers().Range(func(name string, p board.Peer) bool {
-		if !listed[name] && p.Inflight == 0 {
-			removed = append(removed, name)
-		}
-		return true
-	})
-	for _, name := range removed {
-		n.board.Peers().Delete(name)
-	}
-}
-
-// resetRestarted ends the leaving state of servers that started again under the id
-// of an earlier incarnation.
-func (n *Node) resetRestarted(servers []catalog.Server) {
-	started := make(map[string]int64, len(servers))
-	for _, s := range servers {
-		started[s.ID] = s.StartedMillis
-		if previous, ok := n.startedMillis[s.ID]; !ok || previous == s.StartedMillis {
-			continue
-		}
-		n.board.Peers().Update(s.ID, func(p board.Peer, ok bool) (board.Peer, bool) {
-			p.Leaving = false
-			return p, ok
-		})
-	}
-	n.startedMillis = started
-}
-
 // setLocalServer applies the local backend server's list entry, nil if not listed,
 // and the ids of the servers that it replaced.
 func (n *Node) setLocalServer(local *catalog.Server, replaced []string) {
