trial: Let a backend server announce a limit and that it leaves together

Of the soak's two announcements the later replaced the earlier one, so the limit had ended and the check did not know. Change: both stand beside each other.

--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -96,14 +95,11 @@
 	storeProxy              *proxy
 	nodeStarts              int
 	appFault                sync.Map // its key "" holds the active standin.AppFault
-	// announcement is a header that the backend server adds to its responses.
-	announcement     atomic.Pointer[announcement]
+	// announcements are headers that the backend server adds to its responses.
+	announcements    sync.Map
 	replacementStart time.Time
 }
 
-// announcement is a header by which a backend server announces something.
-type announcement struct{ name, value string }
-
 // requestRecord is one request as its caller observed it.
 type requestRecord struct {
 	id, path          string
@@ -260,9 +256,10 @@
 			return f.(standin.AppFault)
 		},
 		SetHeaders: func(h http.Header) {
-			if a := vm.announcement.Load(); a != nil {
-				h.Set(a.name, a.value)
-			}
+			vm.announcements.Range(func(name, value any) bool {
+				h.Set(name.(string), value.(string))
+				return true
+			})
 		},
 	}
 	if vm.service == "front" {
@@ -271,7 +268,7 @@
 	vm.app = standin.NewApp(opts)
 	vm.allApps = append(vm.allApps, vm.app)
 	vm.replacementStart = time.Time{}
-	vm.announcement.Store(nil)
+	vm.announcements.Clear()
 	if err := vm.app.Start(); err != nil {
 		return eris.Wrap(err, "start a backend server")
 	}
--- a/trial/mesh_changes.go
+++ b/trial/mesh_changes.go
@@ -91,17 +91,21 @@
 		return nil
 	}
 	vm.replacementStart = time.Now()
-	vm.announcement.Store(&announcement{name: "Server-Leaving", value: "1"})
+	vm.announcements.Store("Server-Leaving", "1")
 	return func() { s.replaceApp(vm, old) }
 }
 
 // limitApp makes the backend server name a rate limit in its responses.
 func (s *meshSoak) limitApp(vm *meshVM) func() {
-	limit := &announcement{name: "Server-Limit", value: strconv.Itoa(meshServerLimit)}
-	if !vm.announcement.CompareAndSwap(nil, limit) {
+	if _, loaded := vm.announcements.LoadOrStore("Server-Limit", strconv.Itoa(meshServerLimit)); loaded {
 		return nil
 	}
-	return func() { vm.announcement.CompareAndSwap(limit, nil) }
+	limited := vm.app
+	return func() {
+		if vm.app == limited {
+			vm.announcements.Delete("Server-Limit")
+		}
+	}
 }
 
 // crashApp stops the backend server without draining it. Its registration
