catalog: Keep a server out of use that left when an earlier change arrives late

What callers would see: a request sent to a server that left, for as long as the node runs (DRAIN; 421 or a wrong service where its address is used again). Cause: ApplyEvents applied events that the view already reflects. A reader gets the same changes from its own watch, from the other reader and from exchanges. If the response of its watch was delayed beyond a peer's feed, a change from before a server's removal was applied after it: the server was stored again, or its deferred removal was cancelled, and the view's revision was already past the removal, which therefore never came again. Ruled out: tombstones of removed servers; the revision already says what the view reflects. Change: events up to the view's revision have no effect. Why tests missed it: TestViewModel delivered old lists, and events only in order. Before: TestChangeAfterRemoval fails, [a b] instead of [b], in both cases; TestViewModel fails after three steps with its new action, events from any earlier revision. After: both pass.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -168,7 +168,8 @@
 }
 
 // ApplyEvents applies events in the order of their revisions and advances the
-// list to rev.
+// list to rev. The store and several peers deliver the same events, each at its own
+// time; those up to the list's revision have no effect.
 func (v *View) ApplyEvents(events []Event, rev uint64) {
 	for _, e := range events {
 		if e.Config != nil {
@@ -179,6 +180,9 @@
 		changed := false
 		for _, e := range events {
 			switch {
+			case e.Rev <= v.rev:
+				// Applied again, it would undo a later removal of the server.
+				continue
 			case e.Server != nil:
 				changed = v.putServer(*e.Server) || changed
 			case e.Removed != "":
@@ -220,9 +224,6 @@
 
 // recordChange keeps a change for nodes that are behind.
 func (v *View) recordChange(c Change) {
-	if c.Rev <= v.rev {
-		return
-	}
 	v.changes = append(v.changes, c)
 	if len(v.changes) > maxChanges {
 		v.changesBase = v.changes[0].Rev
--- a/catalog/view_test.go
+++ b/catalog/view_test.go
@@ -74,6 +74,32 @@
 	require.Equal(t, int64(2000), v.Listing().Servers[0].StartedMillis)
 }
 
+// Guards against using a server again that left, because a change before its removal
+// is delivered after it.
+func TestChangeAfterRemoval(t *testing.T) {
+	server := newTestServer("a", 11)
+	for _, tc := range []struct {
+		name     string
+		returned bool
+	}{
+		{"removed immediately", false},
+		{"removal deferred", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			v, clock, ids := newTestView()
+			v.ReplaceServers(Listing{Rev: 10, Servers: []Server{newTestServer("a", 3), newTestServer("b", 4)}})
+			if tc.returned {
+				v.RecordStoreReturn(0)
+			}
+			v.ApplyEvents([]Event{{Server: &server, Rev: 11}, {Removed: "a", Rev: 12}}, 12)
+			v.ApplyEvents([]Event{{Server: &server, Rev: 11}}, 11)
+			clock.Advance(expiryGrace)
+			v.RemoveExpired()
+			require.Equal(t, []string{"b"}, ids())
+		})
+	}
+}
+
 // Guards against a View that does not reflect the newest revision or returns to an
 // older one, under random changes, lists and repeated deliveries.
 func TestViewModel(t *testing.T) {
@@ -84,6 +110,8 @@
 			rev     uint64
 		}
 		history := []state{{servers: map[string]uint64{}}}
+		// events[i] leads from history[i] to history[i+1].
+		var events []Event
 		newest := func() state { return history[len(history)-1] }
 		appliedRev := uint64(0)
 		writeEntry := func(id string, removed bool) Event {
@@ -101,6 +129,7 @@
 				e.Server = &s
 			}
 			history = append(history, next)
+			events = append(events, e)
 			return e
 		}
 		t.Repeat(map[string]func(*rapid.T){
@@ -115,6 +144,13 @@
 			"missed": func(t *rapid.T) {
 				writeEntry(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "id")), rapid.Bool().Draw(t, "removed"))
 			},
+			// A reader and its peers deliver the same changes, each at its own time.
+			"events": func(t *rapid.T) {
+				from := rapid.IntRange(0, int(appliedRev)).Draw(t, "from")
+				to := rapid.IntRange(from, len(events)).Draw(t, "to")
+				v.ApplyEvents(events[from:to], uint64(to))
+				appliedRev = max(appliedRev, uint64(to))
+			},
 			"list": func(t *rapid.T) {
 				at := history[rapid.IntRange(0, len(history)-1).Draw(t, "at")]
 				l := Listing{Rev: at.rev}
@@ -143,11 +179,11 @@
 					l.Servers = append(l.Servers, newTestServer(id, rev))
 				}
 				behind.ReplaceServers(l)
-				var events []Event
+				var missed []Event
 				for _, c := range changes {
-					events = append(events, c.Event())
+					missed = append(missed, c.Event())
 				}
-				behind.ApplyEvents(events, v.Rev())
+				behind.ApplyEvents(missed, v.Rev())
 				require.Equal(t, v.Listing(), behind.Listing())
 			},
 		})
