mesh: Count only nodes as peers

The retry budget's slack is shared with peers, and the table had no bound. Ruled out: taking listed nodes only; a node whose server is not listed yet, or whose list is old, is reached by its requests alone. Change: the address must be an IP with the nodes' control port and not this node's, and at most 4,096 peers are known from requests alone. What is not a node gets a log line. Before: TestRequestersThatAreNoNodes fails, one peer after a request from "". After: it passes.

--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -27,6 +28,8 @@
 	// peerRetention is how long a VM stays a peer after its backend server left
 	// the list: its node may still run and may know no other node.
 	peerRetention = 2 * time.Minute
+	// maxPeers bounds the peers that are known from their requests only.
+	maxPeers = 4096
 	// storeReturnWindow is how long peers are notified that the store is back.
 	storeReturnWindow = 10 * time.Second
 )
@@ -265,15 +268,34 @@
 	update.List, update.Rev = &l, l.Rev
 }
 
+// recordRequester records a node that made a request, and reports whether it is a
+// peer. A sender whose address cannot be that of a node is none: the retry budget
+// would be shared with it, and this node would ask it for updates.
+func (s *syncer) recordRequester(addr string) bool {
+	now := s.opts.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	node, known := s.peers[addr]
+	if !known && (len(s.peers) >= maxPeers || !s.isControlAddr(addr)) {
+		s.opts.log.WithField("peer", addr).Warn("sender of a request is not a node")
+		return false
+	}
+	node.lastSeen = now
+	s.peers[addr] = node
+	return true
+}
+
+// isControlAddr reports whether addr can be the control address of another node.
+func (s *syncer) isControlAddr(addr string) bool {
+	at, err := netip.ParseAddrPort(addr)
+	return err == nil && int(at.Port()) == s.opts.port && addr != s.opts.selfAddr
+}
+
 // handleView responds to another node, and requests an update if it is ahead.
 func (s *syncer) handleView(ctx context.Context, r peer.ViewRequest) (peer.Update, error) {
-	s.mu.Lock()
-	node := s.peers[r.From]
-	node.lastSeen = s.opts.clock.Now()
-	s.peers[r.From] = node
-	s.mu.Unlock()
+	known := s.recordRequester(r.From)
 	update := s.updateFor(r)
-	if r.Version > update.Version || r.Rev > update.Rev {
+	if known && (r.Version > update.Version || r.Rev > update.Rev) {
 		go s.exchange(context.WithoutCancel(ctx), r.From)
 	}
 	return update, nil
--- a/mesh/sync_test.go
+++ b/mesh/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"dogwoodhead/catalog"
@@ -25,7 +27,7 @@
 		close(applying)
 		<-finish
 	}})
-	s := newSyncer(syncerOptions{clock: clock, view: view})
+	s := newSyncer(syncerOptions{clock: clock, log: logrus.New(), view: view})
 	go view.ReplaceServers(catalog.Listing{Rev: 1, Servers: []catalog.Server{{ID: "i-1"}}})
 	<-applying
 	updates := make(chan peer.Update, 1)
@@ -42,6 +44,25 @@
 	require.EqualValues(t, 1, (<-updates).Rev)
 }
 
+// Guards against counting as a peer, and asking for updates, what cannot be a node:
+// the retry budget would be shared with it.
+func TestRequestersThatAreNoNodes(t *testing.T) {
+	log, entries := test.NewNullLogger()
+	clock := clockwork.NewFakeClock()
+	s := newSyncer(syncerOptions{clock: clock, log: log, view: catalog.NewView(catalog.ViewOptions{Clock: clock}), selfAddr: "10.0.0.1:7", port: 7})
+	for _, from := range []string{"", "vm-2", "10.0.0.2", "10.0.0.2:8", "app.example:7", "10.0.0.1:7"} {
+		_, err := s.handleView(context.Background(), peer.ViewRequest{From: from, Rev: 9})
+		require.NoError(t, err)
+		require.Zero(t, s.peerCount(), "a request from %q", from)
+	}
+	require.NotEmpty(t, entries.AllEntries())
+	for i := range maxPeers + 10 {
+		_, err := s.handleView(context.Background(), peer.ViewRequest{From: fmt.Sprintf("10.0.%d.%d:7", i/256, i%256)})
+		require.NoError(t, err)
+	}
+	require.Equal(t, maxPeers, s.peerCount())
+}
+
 // Guards against a node that receives no changes asking other zones for them more
 // often than a node that does, and against it asking nobody else.
 func TestCatchUpInOwnZone(t *testing.T) {
