mesh: Test that a fleet acts on changes in time under random faults

The soak needs real time, so it plays few outages. It checks the users' bounds at every node in touch: 2 s from a change to its use, and to the last use of a server that left.

--- /dev/null
+++ b/mesh/converge_test.go
@@ -0,0 +1,199 @@
+package mesh
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/standin"
+)
+
+var (
+	convergeFirstSeed = flag.Uint64("converge-seed", 1, "first seed of TestConverge")
+	convergeSeeds     = flag.Uint64("converge-seeds", 10, "number of seeds of TestConverge")
+)
+
+const (
+	// convergeZones and convergeZoneNodes give the size of the fleet.
+	convergeZones, convergeZoneNodes = 3, 4
+	// convergeStart is when the first fault may begin, convergeLength when the last
+	// one begins, and convergeRest how long the fleet then runs on.
+	convergeStart, convergeLength, convergeRest = 8 * time.Second, 40 * time.Second, 15 * time.Second
+	// maxListed bounds the late changes that are listed for a node.
+	maxListed = 5
+	// leaveDelay is how long a node runs on after its backend server left.
+	leaveDelay = 4 * time.Second
+	// callDrain is when all calls between nodes have ended after the nodes stopped.
+	callDrain = 3 * time.Second
+)
+
+// inTouch reports whether no disturbance of the store or the node lies in the
+// contactBound before a moment.
+func (n *simNode) inTouch(at time.Time) bool {
+	return !slices.ContainsFunc(slices.Concat(n.fleet.storeDown, n.disturbs), func(p period) bool {
+		return p.from.Before(at) && p.to.After(at.Add(-contactBound))
+	})
+}
+
+// lateMoment returns the first moment, changeBound after an acknowledgement or later
+// and before done, at which the node was in touch.
+func (n *simNode) lateMoment(acknowledged, done time.Time) (time.Time, bool) {
+	at := acknowledged.Add(changeBound)
+	for at.Before(done) {
+		if n.inTouch(at) {
+			return at, true
+		}
+		at = at.Add(50 * time.Millisecond)
+	}
+	return time.Time{}, false
+}
+
+// disturbStore makes the store unavailable for a time.
+func (f *simFleet) disturbStore() {
+	mode := []standin.StoreMode{standin.StoreSilent, standin.StoreSilent, standin.StoreBusy, standin.StoreReset}[f.rand.IntN(4)]
+	from := time.Now()
+	f.store.SetMode(mode)
+	time.Sleep(300*time.Millisecond + f.randDuration(8*time.Second))
+	f.store.SetMode(standin.StoreUp)
+	f.storeDown = append(f.storeDown, period{from, time.Now()})
+}
+
+// cutNodes cuts some nodes of one zone off from the store in the background.
+func (f *simFleet) cutNodes() {
+	zone := fmt.Sprint(f.rand.IntN(convergeZones))
+	length := time.Second + f.randDuration(4*time.Second)
+	for _, n := range f.nodes {
+		if n.syncer.opts.zone != zone || f.rand.IntN(3) == 0 || n.cut.Load() {
+			continue
+		}
+		n.cut.Store(true)
+		n.disturbs = append(n.disturbs, period{time.Now(), time.Now().Add(length)})
+		time.AfterFunc(length, func() { n.cut.Store(false) })
+	}
+}
+
+// leave changes and then removes the entry of a random server, whose node stops
+// later.
+func (f *simFleet) leave() {
+	n := f.nodes[f.rand.IntN(len(f.nodes))]
+	if _, left := f.leftAt[n.app.ID()]; left || len(f.leftAt) >= len(f.nodes)/2 {
+		return
+	}
+	n.app.Register(f.store, false)
+	time.Sleep(f.randDuration(maxLinkDelay))
+	f.leftAt[n.app.ID()] = time.Now()
+	f.store.Delete("servers/" + n.app.ID())
+	stopsAt := time.Now().Add(leaveDelay)
+	n.disturbs = append(n.disturbs, period{stopsAt, stopsAt.Add(time.Hour)})
+	time.AfterFunc(leaveDelay, n.stop)
+}
+
+func (f *simFleet) putConfig() {
+	version := uint64(len(f.configAt) + 1)
+	f.store.PutConfig(int(version), nil)
+	f.configAt[version] = time.Now()
+}
+
+func (f *simFleet) randDuration(d time.Duration) time.Duration {
+	return time.Duration(f.rand.Int64N(int64(d)))
+}
+
+// play makes random changes and disturbances and returns what broke the bounds.
+func (f *simFleet) play() []string {
+	for zone := range convergeZones {
+		for range convergeZoneNodes {
+			time.Sleep(f.randDuration(50 * time.Millisecond))
+			f.add(zone)
+		}
+	}
+	f.putConfig()
+	time.Sleep(convergeStart)
+	for began := time.Now(); time.Since(began) < convergeLength; time.Sleep(f.randDuration(time.Second)) {
+		switch f.rand.IntN(12) {
+		case 0:
+			f.disturbStore()
+		case 1:
+			f.cutNodes()
+		case 2:
+			f.leave()
+		case 3:
+			n := f.add(f.rand.IntN(convergeZones))
+			n.disturbs = append(n.disturbs, period{time.Time{}, time.Now()})
+		default:
+			f.putConfig()
+		}
+	}
+	time.Sleep(convergeRest)
+	ended := time.Now()
+	var broken []string
+	for _, n := range f.nodes {
+		broken = append(broken, n.broken(ended)...)
+		if !n.stopped.Load() {
+			n.stop()
+		}
+	}
+	time.Sleep(callDrain)
+	return broken
+}
+
+// broken returns which changes the node acted on too late.
+func (n *simNode) broken(ended time.Time) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	for version, acknowledged := range n.fleet.configAt {
+		done := ended
+		for other, at := range n.configAt {
+			if other >= version && at.Before(done) {
+				done = at
+			}
+		}
+		if at, late := n.lateMoment(acknowledged, done); late {
+			out = append(out, fmt.Sprintf("%s: version %d, acknowledged %s before, not in force", n.addr, version, at.Sub(acknowledged)))
+		}
+	}
+	for id, acknowledged := range n.fleet.leftAt {
+		done := acknowledged
+		if n.listed[id] {
+			done = ended
+		} else if at, seen := n.leftAt[id]; seen {
+			done = at
+		}
+		storeUnstable := slices.ContainsFunc(n.fleet.storeDown, func(p period) bool {
+			return p.from.Before(acknowledged) && p.to.After(acknowledged.Add(-contactBound))
+		})
+		if at, late := n.lateMoment(acknowledged, done); late && !storeUnstable {
+			out = append(out, fmt.Sprintf("%s: server %s, removed %s before, in use", n.addr, id, at.Sub(acknowledged)))
+		}
+	}
+	return out[:min(len(out), maxListed)]
+}
+
+// Guards against nodes that are in touch acting late on changes of the configuration
+// or using servers that left, after outages of the store and while the readers of a
+// zone are cut off from it, start or leave.
+func TestConverge(t *testing.T) {
+	for i := range *convergeSeeds {
+		seed := *convergeFirstSeed + i
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &simFleet{
+					rand: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewRealClock(), store: standin.NewStore(), listener: standin.NewPipeListener(),
+					configAt: make(map[uint64]time.Time), leftAt: make(map[string]time.Time),
+				}
+				srv := &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: waitLimit}
+				go func() { _ = srv.Serve(f.listener) }()
+				defer func() { _ = srv.Close() }()
+				require.Empty(t, f.play())
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mesh/simfleet_test.go
@@ -0,0 +1,252 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"dogwoodhead/catalog"
+	"dogwoodhead/h1"
+	"dogwoodhead/peer"
+	"dogwoodhead/platform"
+	"dogwoodhead/standin"
+)
+
+const (
+	// linkDelay is the usual delay of a message. One of slowMessageDivisor messages
+	// takes up to maxLinkDelay.
+	linkDelay, maxLinkDelay = 5 * time.Millisecond, 400 * time.Millisecond
+	slowMessageDivisor      = 20
+)
+
+// simFleet is a store, and the parts of nodes that follow it and update each other.
+// It runs in a bubble of synctest.
+type simFleet struct {
+	// rand draws the changes and disturbances. Only play uses it.
+	rand      *rand.Rand
+	clock     clockwork.Clock
+	store     *standin.Store
+	listener  standin.PipeListener
+	storeDown []period
+	// nodesMu guards nodes, which only play changes.
+	nodesMu sync.Mutex
+	nodes   []*simNode
+	// configAt and leftAt hold when the store acknowledged a version and the removal
+	// of a server.
+	configAt map[uint64]time.Time
+	leftAt   map[string]time.Time
+}
+
+// period is the time of a disturbance.
+type period struct{ from, to time.Time }
+
+// simNode is one node of a simFleet, with its backend server.
+type simNode struct {
+	fleet    *simFleet
+	random   *nodeRand
+	app      *standin.App
+	addr     string
+	view     *catalog.View
+	syncer   *syncer
+	feeder   *feeder
+	cut      atomic.Bool
+	stopped  atomic.Bool
+	stop     func()
+	disturbs []period
+
+	mu sync.Mutex
+	// configAt and leftAt hold when the node acted on a version and on the removal of
+	// a server.
+	configAt map[uint64]time.Time
+	leftAt   map[string]time.Time
+	listed   map[string]bool
+}
+
+// cutConn is a connection to the store. Once the node is cut off from the store
+// during a read or write, the connection stays silent.
+type cutConn struct {
+	net.Conn
+	cut    *atomic.Bool
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *cutConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == nil && c.cut.Load() {
+		c.silent.Store(true)
+	}
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *cutConn) Write(p []byte) (int, error) {
+	if c.cut.Load() || c.silent.Load() {
+		c.silent.Store(true)
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *cutConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// add starts a node whose backend server is listed.
+func (f *simFleet) add(zone int) *simNode {
+	ip := fmt.Sprintf("10.0.%d.%d", zone, len(f.nodes)+1)
+	random := &nodeRand{rand: rand.New(rand.NewPCG(f.rand.Uint64(), 0))}
+	n := &simNode{
+		fleet: f, random: random, addr: ip + ":1", configAt: make(map[uint64]time.Time), leftAt: make(map[string]time.Time),
+		app: standin.NewApp(standin.AppOptions{ID: "i-" + ip, Service: "s", Zone: fmt.Sprint(zone), Addr: ip + ":80", Slots: 1}),
+	}
+	n.app.Register(f.store, false)
+	n.view = catalog.NewView(catalog.ViewOptions{Clock: f.clock, ServersChanged: n.recordServers, ConfigChanged: n.recordConfig})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	client := h1.NewClient(h1.Options{Clock: f.clock, Dial: n.dialStore})
+	store := platform.NewStore("store:1", client, func(string, error) {})
+	follower := catalog.NewFollower(catalog.FollowerOptions{
+		Clock: f.clock, View: n.view, Read: store.Read, Random: random.float64,
+		Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Event, uint64, error) {
+			defer random.delay()
+			return store.Watch(ctx, after, wait)
+		},
+		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
+		ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
+	})
+	n.syncer = newSyncer(syncerOptions{
+		clock: f.clock, log: log, view: n.view, selfAddr: n.addr, port: 1, zone: fmt.Sprint(zone), randomIntN: random.intN,
+		receivesChanges: func() bool { return n.feeder.receivesChanges() },
+		requestView: func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error) {
+			return callNode(ctx, n, addr, func(to *simNode) (peer.Update, error) { return to.syncer.handleView(ctx, r) })
+		},
+	})
+	n.feeder = newFeeder(feederOptions{
+		clock: f.clock, log: log, sync: n.syncer, selfAddr: n.addr, storeUp: follower.Connected, listed: func() bool { return true },
+		sendFeed: func(ctx context.Context, addr string, feed peer.Feed) (peer.ViewRequest, error) {
+			return callNode(ctx, n, addr, func(to *simNode) (peer.ViewRequest, error) { return to.feeder.handleFeed(ctx, feed) })
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context){follower.Run, n.syncer.run, n.feeder.run, n.removeExpired} {
+		wg.Go(func() { run(ctx) })
+	}
+	n.stop = func() {
+		n.stopped.Store(true)
+		cancel()
+		client.Close()
+		wg.Wait()
+	}
+	f.nodesMu.Lock()
+	defer f.nodesMu.Unlock()
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// callNode calls another node. A node that has stopped does not respond.
+func callNode[T any](ctx context.Context, from *simNode, addr string, handle func(*simNode) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	from.random.delay()
+	to := from.fleet.node(addr)
+	if to == nil || to.stopped.Load() {
+		var none T
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	result, err := handle(to)
+	from.random.delay()
+	return result, err
+}
+
+// node returns the node with a control address, or nil.
+func (f *simFleet) node(addr string) *simNode {
+	f.nodesMu.Lock()
+	defer f.nodesMu.Unlock()
+	if i := slices.IndexFunc(f.nodes, func(n *simNode) bool { return n.addr == addr }); i >= 0 {
+		return f.nodes[i]
+	}
+	return nil
+}
+
+// nodeRand is a source of random numbers for the goroutines of one node.
+type nodeRand struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+func (r *nodeRand) float64() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rand.Float64()
+}
+
+func (r *nodeRand) intN(n int) int { return int(r.float64() * float64(n)) }
+
+// delay waits for a message to arrive.
+func (r *nodeRand) delay() {
+	if r.intN(slowMessageDivisor) == 0 {
+		time.Sleep(time.Duration(r.float64() * float64(maxLinkDelay)))
+		return
+	}
+	time.Sleep(linkDelay)
+}
+
+func (n *simNode) dialStore(ctx context.Context, network, addr string) (net.Conn, error) {
+	if n.cut.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	conn, err := n.fleet.listener.Dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: conn, cut: &n.cut, closed: make(chan struct{})}, nil
+}
+
+func (n *simNode) removeExpired(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(gateInterval)
+		n.view.RemoveExpired()
+	}
+}
+
+func (n *simNode) recordConfig(c *catalog.Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.configAt[c.Version()] = time.Now()
+}
+
+// recordServers records when a server was last removed.
+func (n *simNode) recordServers(servers []catalog.Server) {
+	n.mu.Lock()
+	listed := make(map[string]bool)
+	for _, s := range servers {
+		listed[s.ID] = true
+	}
+	for id := range n.listed {
+		if !listed[id] {
+			n.leftAt[id] = time.Now()
+		}
+	}
+	n.listed = listed
+	n.mu.Unlock()
+	n.syncer.updatePeers(servers)
+	n.feeder.notify()
+}
