mesh, catalog, peer: Take over from readers to which the store does not respond

What callers would see: an acknowledged change not in force 2 s later at nodes in touch, up to 3.2 s late, and servers used after they left (CONFIG, DRAIN), if all readers of the only zone are cut off from the store. In several zones exchanges hide it nearly always. Ruled out: shorter watches, whose calls are priced, and one more reader, which a cut also hits. Change: a feed says how long ago the store responded to its sender. A node whose readers have had no response for 1.4 s, one interval of their watches and a margin, reads by itself, in the order in which it replaces readers that are gone. TestConverge plays 1 to 4 zones of 1 to 6 nodes, entries that expire, and nodes that are cut off from the others too.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -17,6 +17,9 @@
 	// so watchWait bounds how long the end of an outage goes unnoticed. Nodes
 	// must act on changes 3 s after it.
 	watchWait = 1200 * time.Millisecond
+	// MaxResponseInterval is the longest time between two responses to a node that
+	// watches a store which responds in time.
+	MaxResponseInterval = watchWait + 200*time.Millisecond
 	// probeWait replaces watchWait after a failed call: the outage may last, and a
 	// longer call would go unanswered for longer after its end.
 	probeWait = 300 * time.Millisecond
@@ -81,6 +84,9 @@
 	// ReadingStopped is called when this node stops watching the store, because
 	// others do.
 	ReadingStopped func()
+	// Responded is called after each response of the store that is complete up to its
+	// time, before its changes are applied.
+	Responded func()
 	// StoreUnavailable reports whether a failed call shows that the store itself is
 	// unavailable, and not only the connection that the call used.
 	StoreUnavailable func(err error) bool
@@ -122,6 +128,7 @@
 // changes after it.
 func (f *Follower) Run(ctx context.Context) {
 	compacted := false
+	wait := watchWait
 	failures := 0
 	for ctx.Err() == nil {
 		mode := f.opts.Mode()
@@ -135,11 +142,11 @@
 		if compacted || f.opts.View.Rev() == 0 {
 			err = f.readAll(ctx)
 		} else {
-			err = f.watchOnce(ctx, waitAfter(failures))
+			err = f.watchOnce(ctx, wait)
 		}
 		compacted = errors.Is(err, ErrCompacted) || compacted && err != nil
 		if err == nil || errors.Is(err, ErrCompacted) {
-			failures = 0
+			wait, failures = watchWait, 0
 			continue
 		}
 		if ctx.Err() != nil {
@@ -150,6 +157,7 @@
 		pause := f.retryDelay(failures)
 		f.opts.CallFailed(err, f.opts.Clock.Since(started), pause)
 		f.sleep(ctx, pause)
+		wait = probeWait
 		failures++
 	}
 }
@@ -188,14 +196,6 @@
 	f.opts.View.ReplaceServers(l)
 }
 
-// waitAfter returns how long the next watch waits after a number of failed calls.
-func waitAfter(failures int) time.Duration {
-	if failures > 0 {
-		return probeWait
-	}
-	return watchWait
-}
-
 func (f *Follower) watchOnce(ctx context.Context, wait time.Duration) error {
 	after := f.opts.View.Rev()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -237,6 +237,7 @@
 }
 
 func (f *Follower) markConnected() {
+	f.opts.Responded()
 	if f.firstReadAt.IsZero() {
 		f.firstReadAt = f.opts.Clock.Now()
 	}
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -64,7 +64,7 @@
 			st := s.next("watch")
 			return st.events, st.rev, st.err
 		},
-		ConnectionChanged: func(err error) { connected = append(connected, err == nil) },
+		Responded: func() {}, ConnectionChanged: func(err error) { connected = append(connected, err == nil) },
 	})
 	f.Run(ctx)
 	return s, connected
@@ -143,7 +143,7 @@
 			s := newTestServer(string(rune('a'+len(watched))), after+1)
 			return []Event{{Server: &s, Rev: after + 1}}, after + 1, nil
 		},
-		ConnectionChanged: func(error) {},
+		Responded: func() {}, ConnectionChanged: func(error) {},
 	})
 	f.Run(ctx)
 	require.Len(t, watched, 3)
@@ -181,8 +181,8 @@
 			lists = lists[1:]
 			return l, nil, nil
 		},
-		ConnectionChanged: func(error) { require.Fail(t, "a stale read is no connection") },
-		StaleReadFailed:   func(err error) { failures = append(failures, err) },
+		Responded: func() {}, ConnectionChanged: func(error) { require.Fail(t, "a stale read is no connection") },
+		StaleReadFailed: func(err error) { failures = append(failures, err) },
 	})
 	f.Run(ctx)
 	require.Equal(t, []string{"a", "a", "b"}, ids)
@@ -214,7 +214,7 @@
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
 		},
-		ConnectionChanged: func(err error) {
+		Responded: func() {}, ConnectionChanged: func(err error) {
 			if err != nil {
 				lost <- err
 				cancel()
@@ -244,9 +244,9 @@
 			modes = modes[1:]
 			return mode
 		},
-		Read:  func(context.Context, bool) (Listing, *Config, error) { return Listing{Rev: 1}, nil, nil },
-		Watch: func(context.Context, uint64, time.Duration) ([]Event, uint64, error) { return nil, 1, nil },
-		ConnectionChanged: func(err error) {
+		Read:      func(context.Context, bool) (Listing, *Config, error) { return Listing{Rev: 1}, nil, nil },
+		Watch:     func(context.Context, uint64, time.Duration) ([]Event, uint64, error) { return nil, 1, nil },
+		Responded: func() {}, ConnectionChanged: func(err error) {
 			require.NoError(t, err)
 			states = append(states, "connected")
 		},
--- a/mesh/converge_test.go
+++ b/mesh/converge_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,22 +19,21 @@
 )
 
 var (
-	convergeFirstSeed = flag.Uint64("converge-seed", 1, "first seed of TestConverge")
-	convergeSeeds     = flag.Uint64("converge-seeds", defaultConvergeSeeds, "number of seeds of TestConverge")
+	convergeFirstSeed = flag.Uint64("converge-seed", 1, "first seed of TestConverge, with converge-seeds")
+	convergeSeeds     = flag.Uint64("converge-seeds", 0, "number of seeds of TestConverge, 0 for those of its data file")
 )
 
 const (
-	// defaultConvergeSeeds include seeds that failed before faults were fixed: 13 with the
-	// expiry grace after a lost connection, 4, 6, 10 and 13 with changes applied again,
-	// 1, 3 and others with watches that outlast the bound, 5 and 7 without exchanges.
-	defaultConvergeSeeds = 13
-	// convergeZones and convergeZoneNodes give the size of the fleet.
-	convergeZones, convergeZoneNodes = 3, 4
+	// maxZones and maxZoneNodes bound the size of the fleet at its start.
+	maxZones, maxZoneNodes = 4, 6
 	// convergeStart is when the first fault may begin, convergeLength when the last
 	// one begins, and convergeRest how long the fleet then runs on.
 	convergeStart, convergeLength, convergeRest = 8 * time.Second, 40 * time.Second, 15 * time.Second
 	// maxListed bounds the late changes that are listed for a node.
 	maxListed = 5
+	// entryTTL is how long an entry outlives the last heartbeat, reregistration within
+	// what time after an outage a live server is listed again.
+	entryTTL, reregistration = 4500 * time.Millisecond, 2 * time.Second
 	// leaveDelay is how long a node runs on after its backend server left.
 	leaveDelay = 4 * time.Second
 	// callDrain is when all calls between nodes have ended after the nodes stopped.
@@ -66,21 +67,45 @@
 	from := time.Now()
 	f.store.SetMode(mode)
 	time.Sleep(300*time.Millisecond + f.randDuration(8*time.Second))
+	if time.Since(from) > entryTTL {
+		f.expireEntries()
+	}
 	f.store.SetMode(standin.StoreUp)
 	f.storeDown = append(f.storeDown, period{from, time.Now()})
 }
 
-// cutNodes cuts some nodes of one zone off from the store in the background.
+// expireEntries removes some entries. Their servers register again soon.
+func (f *simFleet) expireEntries() {
+	for _, n := range f.nodes {
+		if _, left := f.leftAt[n.app.ID()]; left || f.rand.IntN(2) == 0 {
+			continue
+		}
+		f.store.Delete("servers/" + n.app.ID())
+		time.AfterFunc(f.randDuration(reregistration), func() {
+			if !n.leaving.Load() {
+				n.app.Register(f.store, false)
+			}
+		})
+	}
+}
+
+// cutNodes cuts some nodes of one zone off from the store, or from all other nodes too,
+// in the background.
 func (f *simFleet) cutNodes() {
-	zone := fmt.Sprint(f.rand.IntN(convergeZones))
+	zone := fmt.Sprint(f.rand.IntN(f.zones))
+	isolated := f.rand.IntN(2) == 0
 	length := time.Second + f.randDuration(4*time.Second)
 	for _, n := range f.nodes {
 		if n.syncer.opts.zone != zone || f.rand.IntN(3) == 0 || n.cut.Load() {
 			continue
 		}
 		n.cut.Store(true)
+		n.isolated.Store(isolated)
 		n.disturbs = append(n.disturbs, period{time.Now(), time.Now().Add(length)})
-		time.AfterFunc(length, func() { n.cut.Store(false) })
+		time.AfterFunc(length, func() {
+			n.cut.Store(false)
+			n.isolated.Store(false)
+		})
 	}
 }
 
@@ -107,11 +132,12 @@
 // later.
 func (f *simFleet) leave() {
 	n := f.nodes[f.rand.IntN(len(f.nodes))]
-	if _, left := f.leftAt[n.app.ID()]; left || n.stopped.Load() || len(f.leftAt) >= convergeZones*convergeZoneNodes/2 {
+	if _, left := f.leftAt[n.app.ID()]; left || n.stopped.Load() || len(f.leftAt) >= f.zones*f.zoneNodes/2 {
 		return
 	}
 	n.app.Register(f.store, false)
 	time.Sleep(f.randDuration(maxLinkDelay))
+	n.leaving.Store(true)
 	f.leftAt[n.app.ID()] = time.Now()
 	f.store.Delete("servers/" + n.app.ID())
 	stopsAt := time.Now().Add(leaveDelay)
@@ -131,8 +157,8 @@
 
 // play makes random changes and disturbances and returns what broke the bounds.
 func (f *simFleet) play() []string {
-	for zone := range convergeZones {
-		for range convergeZoneNodes {
+	for zone := range f.zones {
+		for range f.zoneNodes {
 			time.Sleep(f.randDuration(50 * time.Millisecond))
 			f.add(zone)
 		}
@@ -148,7 +174,7 @@
 		case 2:
 			f.leave()
 		case 3:
-			f.add(f.rand.IntN(convergeZones)).disturbs = []period{{time.Time{}, time.Now()}}
+			f.add(f.rand.IntN(f.zones)).disturbs = []period{{time.Time{}, time.Now()}}
 		case 4:
 			f.silenceConns()
 		case 5:
@@ -205,16 +231,34 @@
 	return out[:min(len(out), maxListed)]
 }
 
+// seedsToPlay returns the seeds of the flags or, without these, of the data file.
+func seedsToPlay(t *testing.T) []uint64 {
+	var seeds []uint64
+	for i := range *convergeSeeds {
+		seeds = append(seeds, *convergeFirstSeed+i)
+	}
+	if len(seeds) > 0 {
+		return seeds
+	}
+	for _, line := range readLines(t, "testdata/converge_seeds.txt") {
+		text, _, _ := strings.Cut(line, " ")
+		seed, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err, line)
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
 // Guards against nodes that are in touch acting late on changes of the configuration
 // or using servers that left, after outages of the store and while the readers of a
 // zone are cut off from it, start, restart or leave.
 func TestConverge(t *testing.T) {
-	for i := range *convergeSeeds {
-		seed := *convergeFirstSeed + i
+	for _, seed := range seedsToPlay(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &simFleet{
 					rand: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewRealClock(), store: standin.NewStore(), listener: standin.NewPipeListener(),
+					zones: 1 + int(seed%maxZones), zoneNodes: 1 + int(seed/maxZones%maxZoneNodes),
 					configAt: make(map[uint64]time.Time), leftAt: make(map[string]time.Time),
 				}
 				srv := &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: waitLimit}
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"dogwoodhead/catalog"
 	"dogwoodhead/peer"
 )
 
@@ -39,7 +40,8 @@
 // messages, from a hash of the addresses (rendezvous hashing, Thaler and
 // Ravishankar 1998). It is safe for concurrent use.
 type feeder struct {
-	opts feederOptions
+	opts    feederOptions
+	contact *storeContact
 	// pending holds at most one signal that there is something to feed.
 	pending chan struct{}
 	// startedAt is when the node started.
@@ -64,7 +66,7 @@
 }
 
 func newFeeder(opts feederOptions) *feeder {
-	return &feeder{opts: opts, startedAt: opts.clock.Now(), pending: make(chan struct{}, 1), targets: make(map[string]*feedTarget)}
+	return &feeder{opts: opts, contact: newStoreContact(opts.clock), startedAt: opts.clock.Now(), pending: make(chan struct{}, 1), targets: make(map[string]*feedTarget)}
 }
 
 // notify signals that there is something to feed.
@@ -83,10 +85,16 @@
 }
 
 // receivesChanges reports whether the store or a reader sends changes to this node.
-func (f *feeder) receivesChanges() bool { return f.opts.storeUp() || f.sinceLastFeed() < feedTimeout }
+func (f *feeder) receivesChanges() bool {
+	if min(f.contact.sinceReaders(), f.contact.sinceOwn()) > catalog.MaxResponseInterval {
+		return false
+	}
+	return f.opts.storeUp() || f.sinceLastFeed() < feedTimeout
+}
 
 // handleFeed applies a feed from a reader.
 func (f *feeder) handleFeed(_ context.Context, msg peer.Feed) (peer.ViewRequest, error) {
+	f.contact.recordReader(msg.Age)
 	f.mu.Lock()
 	f.lastFed = f.opts.clock.Now()
 	f.mu.Unlock()
@@ -150,7 +158,9 @@
 // feed feeds one node until nothing is newer here, at most maxFeedsPerRound times.
 func (f *feeder) feed(ctx context.Context, addr string, target *feedTarget) {
 	for range maxFeedsPerRound {
-		reported, err := f.opts.sendFeed(ctx, addr, peer.Feed{Update: f.nextUpdate(target), From: f.opts.selfAddr})
+		reported, err := f.opts.sendFeed(ctx, addr, peer.Feed{
+			Update: f.nextUpdate(target), From: f.opts.selfAddr, Age: f.contact.sinceOwn(),
+		})
 		if err != nil {
 			f.opts.log.WithFields(logrus.Fields{"peer": addr, "error": err.Error()}).Debug("feed failed")
 		}
--- a/mesh/feed_test.go
+++ b/mesh/feed_test.go
@@ -56,17 +56,24 @@
 	check(catalog.ReadFresh, catalog.ReadNone, "the others wait for a feed of the readers")
 	clock.Advance(maxFeedTimeout + time.Millisecond)
 	check(catalog.ReadFresh, catalog.ReadFresh, "the readers do not feed the zone")
-	feed := func() {
+	feed := func(age time.Duration) {
 		for _, f := range []*feeder{readers[0], others[0]} {
-			_, err := f.handleFeed(context.Background(), peer.Feed{})
+			_, err := f.handleFeed(context.Background(), peer.Feed{Age: age})
 			require.NoError(t, err)
 		}
 	}
-	feed()
+	feed(0)
 	check(catalog.ReadNone, catalog.ReadNone, "another node feeds the zone")
 	clock.Advance(startPeriod - maxFeedTimeout)
-	feed()
+	feed(0)
 	check(catalog.ReadFresh, catalog.ReadNone, "a reader reads although another node feeds it")
+	clock.Advance(catalog.MaxResponseInterval - feedInterval)
+	feed(catalog.MaxResponseInterval - feedInterval)
+	check(catalog.ReadFresh, catalog.ReadNone, "the store may have had no changes for the readers")
+	clock.Advance(feedInterval + time.Millisecond)
+	feed(catalog.MaxResponseInterval + time.Millisecond)
+	check(catalog.ReadFresh, catalog.ReadFresh, "the store does not respond to the readers")
+	feed(0)
 	clock.Advance(maxFeedTimeout + time.Millisecond)
 	check(catalog.ReadFresh, catalog.ReadFresh, "the feeds have ended")
 	require.Less(t, readers[0].maxRetryDelay(), others[0].maxRetryDelay())
--- a/mesh/outage_test.go
+++ b/mesh/outage_test.go
@@ -43,16 +43,25 @@
 	length time.Duration
 }
 
-func readOutages(t *testing.T) []outage {
+// readLines returns the lines of a data file that are no comments.
+func readLines(t *testing.T, name string) []string {
 	t.Helper()
-	src, err := os.ReadFile("testdata/outages.txt")
+	src, err := os.ReadFile(name)
 	require.NoError(t, err)
-	var out []outage
+	var lines []string
 	for line := range strings.Lines(string(src)) {
-		if strings.HasPrefix(line, "#") {
-			continue
+		if !strings.HasPrefix(line, "#") {
+			lines = append(lines, strings.TrimSpace(line))
 		}
-		mode, text, _ := strings.Cut(strings.TrimSpace(line), " ")
+	}
+	return lines
+}
+
+func readOutages(t *testing.T) []outage {
+	t.Helper()
+	var out []outage
+	for _, line := range readLines(t, "testdata/outages.txt") {
+		mode, text, _ := strings.Cut(line, " ")
 		length, err := time.ParseDuration(text)
 		require.NoError(t, err, line)
 		out = append(out, outage{standin.StoreMode(mode), length})
@@ -92,7 +101,7 @@
 	n.feeder = newFeeder(feederOptions{clock: clock, sync: n.syncer, selfAddr: readerAddr, listed: func() bool { return true }})
 	f := catalog.NewFollower(catalog.FollowerOptions{
 		Clock: clock, View: r.view, Read: store.Read, Watch: store.Watch, Mode: n.feeder.readMode, MaxRetryDelay: n.feeder.maxRetryDelay,
-		StoreUnavailable: isStoreUnavailable, ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
+		Responded: n.feeder.contact.recordOwn, StoreUnavailable: isStoreUnavailable, ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
 		Random: func() float64 { return 1 },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mesh/readers.go
+++ b/mesh/readers.go
@@ -14,6 +14,8 @@
 	// feedTimeout is how long the first node after the readers waits for a feed
 	// before reading the store itself; each later one waits feedTimeoutStep longer,
 	// up to maxFeedTimeout, which leaves time for a read within the convergence bound.
+	// They wait likewise, from catalog.MaxResponseInterval on, for a feed of a reader to
+	// which the store still responds.
 	feedTimeout     = 900 * time.Millisecond
 	feedTimeoutStep = 100 * time.Millisecond
 	maxFeedTimeout  = 1300 * time.Millisecond
@@ -45,7 +47,8 @@
 }
 
 // readMode returns how this node reads the store: it watches the store as one of
-// the readers of its zone, without a list, or if it was not fed for its timeout.
+// the readers of its zone, without a list, or if it was not fed for its timeout by a
+// reader to which the store responds.
 //
 // A node that has just started may not know yet who the readers are. It does not
 // watch while another node feeds it, and most nodes make stale reads until the
@@ -57,8 +60,9 @@
 	}
 	started, unfed := f.opts.clock.Since(f.startedAt), f.sinceLastFeed()
 	rank := f.readerRank()
-	timeout := min(feedTimeout+time.Duration(rank-zoneReaders)*feedTimeoutStep, maxFeedTimeout)
-	watches := rank < zoneReaders || min(started, unfed) > timeout
+	delay := min(time.Duration(rank-zoneReaders)*feedTimeoutStep, maxFeedTimeout-feedTimeout)
+	watches := rank < zoneReaders || min(started, unfed) > feedTimeout+delay ||
+		min(started, f.contact.sinceReaders()) > catalog.MaxResponseInterval+delay
 	switch {
 	case started <= startPeriod && !f.opts.listed() && !f.startsAsWatcher():
 		return catalog.ReadStale
--- a/mesh/simfleet_test.go
+++ b/mesh/simfleet_test.go
@@ -37,6 +37,8 @@
 	store     *standin.Store
 	listener  standin.PipeListener
 	storeDown []period
+	// zones and zoneNodes are the size of the fleet at its start.
+	zones, zoneNodes int
 	// nodesMu guards nodes, which only play changes.
 	nodesMu sync.Mutex
 	nodes   []*simNode
@@ -62,6 +64,10 @@
 	// its connections to the store went silent for good.
 	cut      atomic.Bool
 	silences atomic.Int32
+	// isolated is set while it is cut off from the other nodes.
+	isolated atomic.Bool
+	// leaving is set once the backend server leaves the list for good.
+	leaving  atomic.Bool
 	stopped  atomic.Bool
 	stop     func()
 	disturbs []period
@@ -140,7 +146,7 @@
 			return store.Watch(ctx, after, wait)
 		},
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
-		StoreUnavailable: isStoreUnavailable, ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
+		Responded: func() { n.feeder.contact.recordOwn() }, StoreUnavailable: isStoreUnavailable, ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
 	})
 	n.syncer = newSyncer(syncerOptions{
 		clock: f.clock, log: log, view: n.view, selfAddr: n.addr, port: 1, zone: zone, randomIntN: random.intN,
@@ -178,7 +184,7 @@
 	defer cancel()
 	from.random.delay()
 	to := from.fleet.node(addr)
-	if to == nil {
+	if to == nil || to.isolated.Load() || from.isolated.Load() {
 		var none T
 		<-ctx.Done()
 		return none, ctx.Err()
--- a/peer/store_view.go
+++ b/peer/store_view.go
@@ -37,4 +37,7 @@
 type Feed struct {
 	Update
 	From string `json:"from"`
+	// Age is the time since the store last responded to the sender. Changes of that
+	// time may be missing.
+	Age time.Duration `json:"age,omitempty"`
 }
