mesh: Ignore a peer's outage if the store responded here all the time

What callers would see: requests sent to a server up to 1.7 s longer than allowed after it left, at nodes in touch, if they learn of that from a node that was cut off itself (DRAIN). Ruled out: not passing outages on; most nodes do not read the store and learn of real ones so. Change: a node ignores an outage that a peer reports if it or its readers had responses with no gap above 2.1 s, which a failed connection alone does not exceed.

--- a/mesh/contact.go
+++ b/mesh/contact.go
@@ -7,6 +7,11 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// storeAwayGap is how long at least no node hears from a store that is away for so long
+// that entries expire. A failed connection alone leaves a node without a response for
+// less.
+const storeAwayGap = 2100 * time.Millisecond
+
 // storeContact records when the store last responded, to this node and to the readers
 // that feed it. A call that waits says nothing: the store may have no changes, or be
 // away. It is safe for concurrent use.
@@ -17,6 +22,9 @@
 	// own is when the store last responded to this node, readers when it last
 	// responded to a reader that fed this node. Both are zero before.
 	own, readers time.Time
+	// returned is when the store responded to any of them after storeAwayGap without a
+	// response.
+	returned time.Time
 }
 
 func newStoreContact(clock clockwork.Clock) *storeContact { return &storeContact{clock: clock} }
@@ -25,7 +33,9 @@
 func (c *storeContact) recordOwn() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.own = c.clock.Now()
+	now := c.clock.Now()
+	c.recordReturn(now)
+	c.own = now
 }
 
 // recordReader records a feed of a reader to which the store responded age ago.
@@ -33,10 +43,33 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at := c.clock.Now().Add(-max(age, 0)); at.After(c.readers) {
+		c.recordReturn(at)
 		c.readers = at
 	}
 }
 
+// recordReturn sets returned after a response at a time, if it ended a gap. It is called
+// with mu held, before own or readers is set.
+func (c *storeContact) recordReturn(at time.Time) {
+	if c.isAway(at) {
+		c.returned = at
+	}
+}
+
+// isAway reports whether there was no response in storeAwayGap before a time.
+func (c *storeContact) isAway(at time.Time) bool {
+	return at.Sub(c.own) > storeAwayGap && at.Sub(c.readers) > storeAwayGap
+}
+
+// wasAway reports whether the store was away in the window before now, as far as this
+// node and its readers know.
+func (c *storeContact) wasAway(window time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	return c.isAway(now) || now.Sub(c.returned) < window
+}
+
 // sinceOwn returns the time since the store last responded to this node.
 func (c *storeContact) sinceOwn() time.Duration {
 	c.mu.Lock()
--- a/mesh/feed_test.go
+++ b/mesh/feed_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"dogwoodhead/catalog"
@@ -123,3 +124,42 @@
 		})
 	}
 }
+
+// Guards against taking an outage that only a peer had for one of the store: servers
+// that left would stay in use as if their entries had expired.
+func TestOutageOfPeer(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		gap    time.Duration
+		outage bool
+	}{
+		{"the store responded to the readers all the time", feedInterval, false},
+		{"a connection failed", storeAwayGap, false},
+		{"the store was away", storeAwayGap + time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			view := catalog.NewView(catalog.ViewOptions{Clock: clock})
+			view.ReplaceServers(catalog.Listing{Rev: 1, Servers: []catalog.Server{{ID: "i-1"}}})
+			log, _ := test.NewNullLogger()
+			var f *feeder
+			s := newSyncer(syncerOptions{clock: clock, log: log, view: view, storeWasAway: func(w time.Duration) bool { return f.contact.wasAway(w) }})
+			f = newFeeder(feederOptions{clock: clock, sync: s})
+			for range int(storeReturnWindow/feedInterval) + 1 {
+				f.contact.recordReader(0)
+				clock.Advance(feedInterval)
+			}
+			f.contact.recordReader(0)
+			clock.Advance(tc.gap)
+			_, err := f.handleFeed(context.Background(), peer.Feed{})
+			require.NoError(t, err)
+			clock.Advance(feedInterval)
+			_, err = f.handleFeed(context.Background(), peer.Feed{Update: peer.Update{
+				Rev: 2, BaseRev: 1, Changes: []catalog.Change{{Removed: "i-1", Rev: 2}}, SinceStoreRecovery: feedInterval,
+			}})
+			require.NoError(t, err)
+			_, outage := view.SinceStoreReturn()
+			require.Equal(t, tc.outage, outage)
+		})
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -184,7 +184,8 @@
 	n.syncer = newSyncer(syncerOptions{
 		clock: n.clock, log: n.log, view: n.view,
 		selfAddr: net.JoinHostPort(n.settings.IP(), strconv.Itoa(n.settings.ControlPort())), port: n.settings.ControlPort(),
-		zone: n.settings.Zone(), receivesChanges: func() bool { return n.feeder.receivesChanges() }, requestView: n.controlClient.View,
+		zone: n.settings.Zone(), receivesChanges: func() bool { return n.feeder.receivesChanges() },
+		storeWasAway: func(window time.Duration) bool { return n.feeder.contact.wasAway(window) }, requestView: n.controlClient.View,
 	})
 	n.feeder = newFeeder(feederOptions{
 		clock: n.clock, log: n.log, sync: n.syncer, selfAddr: n.syncer.opts.selfAddr, storeUp: n.follower.Connected, sendFeed: n.controlClient.Feed,
--- a/mesh/simfleet_test.go
+++ b/mesh/simfleet_test.go
@@ -151,6 +151,7 @@
 	n.syncer = newSyncer(syncerOptions{
 		clock: f.clock, log: log, view: n.view, selfAddr: n.addr, port: 1, zone: zone, randomIntN: random.intN,
 		receivesChanges: func() bool { return n.feeder.receivesChanges() },
+		storeWasAway:    func(window time.Duration) bool { return n.feeder.contact.wasAway(window) },
 		requestView: func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error) {
 			return callNode(ctx, n, addr, func(to *simNode) (peer.Update, error) { return to.syncer.handleView(ctx, r) })
 		},
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -47,6 +47,9 @@
 	// receivesChanges reports whether this node receives changes, from the store or
 	// from a reader.
 	receivesChanges func() bool
+	// storeWasAway reports whether the store may have been away in a window before now.
+	// If not, the outage that a peer reports was one of the peer's own connections.
+	storeWasAway func(window time.Duration) bool
 	// requestView sends r to one node and returns the update.
 	requestView func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error)
 	// randomIntN returns a number in [0, n); nil means rand.IntN.
@@ -210,7 +213,7 @@
 	if update.Rev <= s.opts.view.Rev() {
 		return
 	}
-	if update.SinceStoreRecovery > 0 {
+	if update.SinceStoreRecovery > 0 && s.opts.storeWasAway(storeReturnWindow) {
 		s.opts.view.RecordStoreReturn(update.SinceStoreRecovery)
 	}
 	switch {
