catalog: Begin reading for other nodes with a short watch

Cause: the only node with access to the store took over reading and used the connection that it had kept since it last read. That had gone silent meanwhile, and its first watch hung for 1.9 s. A node takes over because the store may be away, so the reason for short watches after a failed call holds for its first call as well. Ruled out: closing idle connections to the store; a new one costs as much and may fail too. Change: the first watch after a time without reading waits 0.3 s instead of 1.2 s.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -20,8 +20,9 @@
 	// MaxResponseInterval is the longest time between two responses to a node that
 	// watches a store which responds in time.
 	MaxResponseInterval = watchWait + 200*time.Millisecond
-	// probeWait replaces watchWait after a failed call: the outage may last, and a
-	// longer call would go unanswered for longer after its end.
+	// probeWait replaces watchWait after a failed call, since an outage may last and a
+	// longer call would go unanswered for longer after its end, and for the first call
+	// of a node that takes over from readers to which the store does not respond.
 	probeWait = 300 * time.Millisecond
 	// batchDelay is the pause after a change, so that one call returns the
 	// changes of a burst. It delays only changes that follow another one.
@@ -133,6 +134,7 @@
 	for ctx.Err() == nil {
 		mode := f.opts.Mode()
 		if mode != ReadFresh {
+			wait = probeWait
 			f.markNotReading()
 			f.readStale(ctx, mode)
 			continue
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -152,6 +152,36 @@
 	}
 }
 
+// Guards against a long watch on a connection that went silent while it was idle, when a
+// node takes over from readers to which the store does not respond.
+func TestFirstWatchIsShort(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	modes := []ReadMode{ReadFresh, ReadNone, ReadFresh, ReadFresh}
+	var waits []time.Duration
+	v := NewView(ViewOptions{Clock: clockwork.NewRealClock()})
+	v.ReplaceServers(Listing{Rev: 1})
+	f := NewFollower(FollowerOptions{
+		Clock: clockwork.NewRealClock(), View: v,
+		Mode: func() ReadMode {
+			if len(modes) == 0 {
+				cancel()
+				return ReadNone
+			}
+			mode := modes[0]
+			modes = modes[1:]
+			return mode
+		},
+		Watch: func(_ context.Context, _ uint64, wait time.Duration) ([]Event, uint64, error) {
+			waits = append(waits, wait)
+			return nil, 1, nil
+		},
+		Responded: func() {}, ConnectionChanged: func(error) {}, ReadingStopped: func() {},
+	})
+	f.Run(ctx)
+	require.Equal(t, []time.Duration{watchWait, probeWait, watchWait}, waits)
+}
+
 // Guards against a stale read that takes the state back, and against one that
 // counts as a connection to the store.
 func TestStaleRead(t *testing.T) {
