trial: Resume a suspended node before waiting for its planned stop

Cause, from the trace: the node logged 'stopping', a pause suspended it 0.9 s later, and its log ends there. The soak ends faults one after the other, and the wait for the stop came before the end of the pause, so the process stayed suspended for all of the grace. Ruled out: a request or connection that holds the node; it did nothing in that time. Change: the node is resumed first and then has the same time to end as before. The check keeps its bound.

--- a/trial/mesh_changes.go
+++ b/trial/mesh_changes.go
@@ -26,6 +26,9 @@
 	}
 	_ = node.cmd.Process.Signal(syscall.SIGTERM)
 	return func() {
+		// A process that a fault suspended meanwhile cannot end. The faults end one after
+		// the other, so that fault's end would come after this wait.
+		node.resume()
 		select {
 		case <-node.done:
 		case <-time.After(meshStopGrace + time.Second):
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -94,11 +94,7 @@
 		_ = vm.node.cmd.Process.Signal(syscall.SIGHUP)
 		return nil
 	}, planned: true},
-	{name: "pause", begin: func(_ *meshSoak, vm *meshVM) func() {
-		node := vm.node
-		_ = node.cmd.Process.Signal(syscall.SIGSTOP)
-		return func() { _ = node.cmd.Process.Signal(syscall.SIGCONT) }
-	}, affectsProcess: true},
+	{name: "pause", begin: func(_ *meshSoak, vm *meshVM) func() { return vm.node.pause() }, affectsProcess: true},
 	{name: "slow", begin: linkFault(linkSlow)},
 	{name: "oneway", begin: linkFault(linkBlockRequests)},
 	{name: "answers", begin: linkFault(linkBlockResponses)},
--- a/trial/process.go
+++ b/trial/process.go
@@ -68,6 +68,15 @@
 	<-p.done
 }
 
+// pause suspends the process and returns a function that resumes it.
+func (p *Process) pause() (resume func()) {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // it may have ended before
+	return p.resume
+}
+
+// resume resumes the process if it is suspended.
+func (p *Process) resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
 // Stop sends SIGTERM and waits. It returns an error if the process ended
 // before, exits with a status other than 0 or does not end within the timeout.
 func (p *Process) Stop(timeout time.Duration) error {
