mesh: Take neither a start nor a slow response for an outage of the store

Its first response ended a gap since the zero time, so that it took the store for having been away for 10 s from its start on; and a slow response after a failed connection can take longer than the gap of 2.1 s. Change: a gap begins at the node's start at the earliest, and 2.5 s count as one: entries expire after 3 s at the earliest. A node that starts during an outage still notices it, from its own failed calls or since it has no response for that long.

--- a/mesh/contact.go
+++ b/mesh/contact.go
@@ -8,9 +8,10 @@
 )
 
 // storeAwayGap is how long at least no node hears from a store that is away for so long
-// that entries expire. A failed connection alone leaves a node without a response for
-// less.
-const storeAwayGap = 2100 * time.Millisecond
+// that entries expire: three heartbeats are missed then, 3 s or more apart from the
+// first to the last. A failed connection alone leaves a node without a response for
+// less, even if the next response is slow.
+const storeAwayGap = 2500 * time.Millisecond
 
 // storeContact records when the store last responded, to this node and to the readers
 // that feed it. A call that waits says nothing: the store may have no changes, or be
@@ -19,15 +20,17 @@
 	clock clockwork.Clock
 
 	mu sync.Mutex
-	// own is when the store last responded to this node, readers when it last
-	// responded to a reader that fed this node. Both are zero before.
+	// own is when the store last responded to this node, the node's start before;
+	// readers is when it last responded to a reader that fed this node, zero before.
 	own, readers time.Time
 	// returned is when the store responded to any of them after storeAwayGap without a
 	// response.
 	returned time.Time
 }
 
-func newStoreContact(clock clockwork.Clock) *storeContact { return &storeContact{clock: clock} }
+func newStoreContact(clock clockwork.Clock) *storeContact {
+	return &storeContact{clock: clock, own: clock.Now()}
+}
 
 // recordOwn records that the store has responded to this node.
 func (c *storeContact) recordOwn() {
