mesh: Share the simulated node between the tests of outages

The tests of outages and TestConverge each built the part of a node that follows the store. The former use the fleet's node now, whose pauses are as long as possible and whose messages are never slow without a source of random numbers. Bounds, outages and phases are as before.

--- a/mesh/converge_test.go
+++ b/mesh/converge_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"dogwoodhead/standin"
@@ -36,8 +34,6 @@
 	entryTTL, reregistration = 4500 * time.Millisecond, 2 * time.Second
 	// leaveDelay is how long a node runs on after its backend server left.
 	leaveDelay = 4 * time.Second
-	// callDrain is when all calls between nodes have ended after the nodes stopped.
-	callDrain = 3 * time.Second
 )
 
 // inTouch reports whether no disturbance of the store or the node lies in the
@@ -190,11 +186,7 @@
 	var broken []string
 	for _, n := range f.nodes {
 		broken = append(broken, n.broken(ended)...)
-		if !n.stopped.Load() {
-			n.stop()
-		}
 	}
-	time.Sleep(callDrain)
 	return broken
 }
 
@@ -256,14 +248,9 @@
 	for _, seed := range seedsToPlay(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &simFleet{
-					rand: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewRealClock(), store: standin.NewStore(), listener: standin.NewPipeListener(),
-					zones: 1 + int(seed%maxZones), zoneNodes: 1 + int(seed/maxZones%maxZoneNodes),
-					configAt: make(map[uint64]time.Time), leftAt: make(map[string]time.Time),
-				}
-				srv := &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: waitLimit}
-				go func() { _ = srv.Serve(f.listener) }()
-				defer func() { _ = srv.Close() }()
+				f := newSimFleet(rand.New(rand.NewPCG(seed, 0)))
+				f.zones, f.zoneNodes = 1+int(seed%maxZones), 1+int(seed/maxZones%maxZoneNodes)
+				defer f.close()
 				require.Empty(t, f.play())
 			})
 		})
--- a/mesh/outage_test.go
+++ b/mesh/outage_test.go
@@ -1,26 +1,16 @@
 package mesh
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/jonboulle/clockwork"
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"dogwoodhead/catalog"
-	"dogwoodhead/h1"
-	"dogwoodhead/platform"
 	"dogwoodhead/standin"
 )
 
@@ -69,63 +59,13 @@
 	return out
 }
 
-// storeReader is the part of a node that reads the store. It runs in a bubble of
-// synctest, over in-memory connections.
-type storeReader struct {
-	store   *standin.Store
-	view    *catalog.View
-	servers atomic.Int32
-	stop    func()
-}
-
-// readerAddr is the control address of the storeReader.
+// readerAddr is the control address of the node under test.
 const readerAddr = "10.0.0.1:1"
 
-func startStoreReader() *storeReader {
-	clock := clockwork.NewRealClock()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	n := &Node{log: log, clock: clock}
-	r := &storeReader{store: standin.NewStore()}
-	r.view = catalog.NewView(catalog.ViewOptions{Clock: clock, ServersChanged: func(s []catalog.Server) {
-		r.servers.Store(int32(len(s)))
-		n.syncer.updatePeers(s)
-	}})
-	n.view = r.view
-	ln := standin.NewPipeListener()
-	srv := &http.Server{Handler: r.store.Handler(), ReadHeaderTimeout: waitLimit}
-	go func() { _ = srv.Serve(ln) }()
-	client := h1.NewClient(h1.Options{Clock: clock, Dial: ln.Dial})
-	store := platform.NewStore("store:1", client, func(string, error) {})
-	n.syncer = newSyncer(syncerOptions{clock: clock, view: r.view, selfAddr: readerAddr, port: 1, zone: "z"})
-	n.feeder = newFeeder(feederOptions{clock: clock, sync: n.syncer, selfAddr: readerAddr, listed: func() bool { return true }})
-	f := catalog.NewFollower(catalog.FollowerOptions{
-		Clock: clock, View: r.view, Read: store.Read, Watch: store.Watch, Mode: n.feeder.readMode, MaxRetryDelay: n.feeder.maxRetryDelay,
-		Responded: n.feeder.contact.recordOwn, StoreUnavailable: isStoreUnavailable, ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
-		Random: func() float64 { return 1 },
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() { f.Run(ctx) })
-	wg.Go(func() {
-		for ctx.Err() == nil {
-			time.Sleep(gateInterval)
-			r.view.RemoveExpired()
-		}
-	})
-	r.stop = func() {
-		cancel()
-		_ = srv.Close()
-		client.Close()
-		wg.Wait()
-	}
-	return r
-}
-
 // registerBackend lists a backend server on the VM with the ip.
-func (r *storeReader) registerBackend(id, ip string) *standin.App {
-	app := standin.NewApp(standin.AppOptions{ID: id, Service: "s", Zone: "z", Addr: ip + ":80", Slots: 1})
-	app.Register(r.store, false)
+func (f *simFleet) registerBackend(id, ip string) *standin.App {
+	app := standin.NewApp(standin.AppOptions{ID: id, Service: "s", Zone: "0", Addr: ip + ":80", Slots: 1})
+	app.Register(f.store, false)
 	return app
 }
 
@@ -147,36 +87,32 @@
 // list before the outage. It returns how late the reader acted on each change.
 func playOutage(t *testing.T, o outage, phase time.Duration, gone []string) (change, leave time.Duration) {
 	t.Helper()
-	r := startStoreReader()
-	defer r.stop()
+	f := newSimFleet(nil)
+	defer f.close()
 	for _, ip := range gone {
-		left := r.registerBackend("i-"+ip, ip)
-		time.AfterFunc(startPeriod/2, func() { r.store.Delete("servers/" + left.ID()) })
+		left := f.registerBackend("i-"+ip, ip)
+		time.AfterFunc(startPeriod/2, func() { f.store.Delete("servers/" + left.ID()) })
 	}
-	leaving := r.registerBackend("i-1", "10.0.0.1")
-	r.registerBackend("i-2", "10.0.0.2")
-	r.store.PutConfig(1, nil)
+	leaving := f.registerBackend("i-1", "10.0.0.1")
+	f.registerBackend("i-2", "10.0.0.2")
+	f.store.PutConfig(1, nil)
+	n := f.start(readerAddr, "0", leaving)
 	time.Sleep(startPeriod + phase)
-	require.Equal(t, int32(2), r.servers.Load())
+	require.Len(t, n.view.Listing().Servers, 2)
 
-	r.store.SetMode(o.mode)
+	f.store.SetMode(o.mode)
 	time.Sleep(o.length)
-	r.store.SetMode(standin.StoreUp)
+	f.store.SetMode(standin.StoreUp)
 	returned := time.Now()
-	r.store.PutConfig(2, nil)
-	time.AfterFunc(contactBound, func() { r.store.Delete("servers/" + leaving.ID()) })
-	for (change == 0 || leave == 0) && time.Since(returned) < waitLimit {
-		time.Sleep(time.Millisecond)
-		if change == 0 && r.view.ConfigVersion() == 2 {
-			change = time.Since(returned)
-		}
-		if leave == 0 && r.servers.Load() == 1 {
-			leave = time.Since(returned) - contactBound
-		}
-	}
-	require.NotZero(t, change)
-	require.NotZero(t, leave)
-	return change, leave
+	f.store.PutConfig(2, nil)
+	time.Sleep(contactBound)
+	f.store.Delete("servers/" + leaving.ID())
+	time.Sleep(waitLimit)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	require.Contains(t, n.configAt, uint64(2))
+	require.Contains(t, n.leftAt, leaving.ID())
+	return n.configAt[2].Sub(returned), n.leftAt[leaving.ID()].Sub(returned) - contactBound
 }
 
 // forEachOutage plays each outage of testdata/outages.txt at many moments of the
--- a/mesh/simfleet_test.go
+++ b/mesh/simfleet_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,16 +28,20 @@
 	// takes up to maxLinkDelay.
 	linkDelay, maxLinkDelay = 5 * time.Millisecond, 400 * time.Millisecond
 	slowMessageDivisor      = 20
+	// callDrain is when all calls between nodes have ended after the nodes stopped.
+	callDrain = 3 * time.Second
 )
 
 // simFleet is a store, and the parts of nodes that follow it and update each other.
 // It runs in a bubble of synctest.
 type simFleet struct {
-	// rand draws the changes and disturbances. Only play uses it.
+	// rand draws the changes and disturbances; only play uses it. If it is nil, nodes
+	// pause for as long as they may, and no message is slow.
 	rand      *rand.Rand
 	clock     clockwork.Clock
 	store     *standin.Store
 	listener  standin.PipeListener
+	server    *http.Server
 	storeDown []period
 	// zones and zoneNodes are the size of the fleet at its start.
 	zones, zoneNodes int
@@ -120,6 +126,28 @@
 	return c.Conn.Close()
 }
 
+// newSimFleet returns a store without nodes.
+func newSimFleet(random *rand.Rand) *simFleet {
+	f := &simFleet{
+		rand: random, clock: clockwork.NewRealClock(), store: standin.NewStore(), listener: standin.NewPipeListener(),
+		configAt: make(map[uint64]time.Time), leftAt: make(map[string]time.Time),
+	}
+	f.server = &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: waitLimit}
+	go func() { _ = f.server.Serve(f.listener) }()
+	return f
+}
+
+// close stops the store and all nodes, and waits for the calls between them.
+func (f *simFleet) close() {
+	for _, n := range f.nodes {
+		if !n.stopped.Load() {
+			n.stop()
+		}
+	}
+	time.Sleep(callDrain)
+	_ = f.server.Close()
+}
+
 // add starts a node whose backend server is listed.
 func (f *simFleet) add(zone int) *simNode {
 	ip := fmt.Sprintf("10.0.%d.%d", zone, len(f.nodes)+1)
@@ -130,7 +158,10 @@
 
 // start starts a node.
 func (f *simFleet) start(addr, zone string, app *standin.App) *simNode {
-	random := &nodeRand{rand: rand.New(rand.NewPCG(f.rand.Uint64(), 0))}
+	random := &nodeRand{}
+	if f.rand != nil {
+		random.rand = rand.New(rand.NewPCG(f.rand.Uint64(), 0))
+	}
 	n := &simNode{
 		fleet: f, random: random, addr: addr, app: app, configAt: make(map[uint64]time.Time), leftAt: make(map[string]time.Time),
 	}
@@ -146,7 +177,9 @@
 			return store.Watch(ctx, after, wait)
 		},
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
-		Responded: func() { n.feeder.contact.recordOwn() }, StoreUnavailable: isStoreUnavailable, ConnectionChanged: func(error) {}, ReadingStopped: func() {}, CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
+		Responded: func() { n.feeder.contact.recordOwn() }, StoreUnavailable: isStoreUnavailable,
+		ConnectionChanged: func(error) {}, ReadingStopped: func() {},
+		CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
 	})
 	n.syncer = newSyncer(syncerOptions{
 		clock: f.clock, log: log, view: n.view, selfAddr: n.addr, port: 1, zone: zone, randomIntN: random.intN,
@@ -205,7 +238,8 @@
 	return nil
 }
 
-// nodeRand is a source of random numbers for the goroutines of one node.
+// nodeRand is a source of random numbers for the goroutines of one node. Without rand
+// all numbers are as large as possible.
 type nodeRand struct {
 	mu   sync.Mutex
 	rand *rand.Rand
@@ -214,6 +248,9 @@
 func (r *nodeRand) float64() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.rand == nil {
+		return math.Nextafter(1, 0)
+	}
 	return r.rand.Float64()
 }
 
