--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -70,6 +70,19 @@
 	return s, connected
 }
 
+// scriptedModes returns the modes in turn, then cancels the context.
+func scriptedModes(modes []ReadMode, cancel context.CancelFunc) func() ReadMode {
+	return func() ReadMode {
+		if len(modes) == 0 {
+			cancel()
+			return ReadNone
+		}
+		mode := modes[0]
+		modes = modes[1:]
+		return mode
+	}
+}
+
 // Guards against losing changes when the store is unavailable, when it compacts its
 // history, and when a watch ends without a change.
 func TestFollow(t *testing.T) {
@@ -163,15 +176,7 @@
 	v.ReplaceServers(Listing{Rev: 1})
 	f := NewFollower(FollowerOptions{
 		Clock: clockwork.NewRealClock(), View: v,
-		Mode: func() ReadMode {
-			if len(modes) == 0 {
-				cancel()
-				return ReadNone
-			}
-			mode := modes[0]
-			modes = modes[1:]
-			return mode
-		},
+		Mode: scriptedModes(modes, cancel),
 		Watch: func(_ context.Context, _ uint64, wait time.Duration) ([]Event, uint64, error) {
 			waits = append(waits, wait)
 			return nil, 1, nil
@@ -265,15 +270,7 @@
 	v := NewView(ViewOptions{Clock: clockwork.NewRealClock()})
 	f := NewFollower(FollowerOptions{
 		Clock: clockwork.NewRealClock(), View: v,
-		Mode: func() ReadMode {
-			if len(modes) == 0 {
-				cancel()
-				return ReadNone
-			}
-			mode := modes[0]
-			modes = modes[1:]
-			return mode
-		},
+		Mode: scriptedModes(modes, cancel),
 		Read:      func(context.Context, bool) (Listing, *Config, error) { return Listing{Rev: 1}, nil, nil },
 		Watch:     func(context.Context, uint64, time.Duration) ([]Event, uint64, error) { return nil, 1, nil },
 		Responded: func() {}, ConnectionChanged: func(err error) {
