--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -270,7 +270,7 @@
 	v := NewView(ViewOptions{Clock: clockwork.NewRealClock()})
 	f := NewFollower(FollowerOptions{
 		Clock: clockwork.NewRealClock(), View: v,
-		Mode: scriptedModes(modes, cancel),
+		Mode:      scriptedModes(modes, cancel),
 		Read:      func(context.Context, bool) (Listing, *Config, error) { return Listing{Rev: 1}, nil, nil },
 		Watch:     func(context.Context, uint64, time.Duration) ([]Event, uint64, error) { return nil, 1, nil },
 		Responded: func() {}, ConnectionChanged: func(err error) {
