mesh: Identify a node by the address of its backend server

Cause: the other nodes find a node at its backend server's address, but it knew itself by the address at which it listens. On the users' platform both addresses are the same, so nothing changes there. Before: TestOwnAddress, 2 peers instead of 1.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -183,7 +182,8 @@
 	n.controlClient = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: n.controlMetrics, Dial: dial})
 	n.syncer = newSyncer(syncerOptions{
 		clock: n.clock, log: n.log, view: n.view,
-		selfAddr: net.JoinHostPort(n.settings.IP(), strconv.Itoa(n.settings.ControlPort())), port: n.settings.ControlPort(),
+		// The other nodes know this one by the address of its backend server.
+		selfAddr: onPort(n.settings.BackendAddr(), n.settings.ControlPort()), port: n.settings.ControlPort(),
 		zone: n.settings.Zone(), receivesChanges: func() bool { return n.feeder.receivesChanges() },
 		storeWasAway: func(window time.Duration) bool { return n.feeder.contact.wasAway(window) }, requestView: n.controlClient.View,
 	})
--- a/mesh/sync_test.go
+++ b/mesh/sync_test.go
@@ -16,6 +16,7 @@
 
 	"dogwoodhead/catalog"
 	"dogwoodhead/peer"
+	"dogwoodhead/settings"
 )
 
 // Guards against a node announcing a list before it acts on it: its peers would
@@ -105,3 +106,18 @@
 		})
 	}
 }
+
+// Guards against a node that listens on another address than its backend server's
+// taking itself for a peer: it would have two places in the order of the readers.
+func TestOwnAddress(t *testing.T) {
+	src := `{"vm": "vm-1", "ip": "10.0.9.1", "zone": "z", "region": "r", "zones": {"z": "r"}, "service": "s",
+		"listen": {"outbound": "10.0.0.1:80", "ready": "10.0.0.1:81", "operator": "10.0.0.1:82"}, "ports": [7620, 7635],
+		"backend": "10.0.0.1:8301", "store": "10.0.0.250:80", "limits": {"memory": 200, "cores": 1},
+		"bounds": {"grace": 4, "ratio": 0.2, "slack": 40}}`
+	parsed, err := settings.ParseMesh("test.jsonc", []byte(src))
+	require.NoError(t, err)
+	log, _ := test.NewNullLogger()
+	n := newNode(parsed, "test", log, clockwork.NewFakeClock(), newDialer().DialContext)
+	n.syncer.updatePeers([]catalog.Server{{Addr: "10.0.0.1:8301", Zone: "z"}, {Addr: "10.0.0.2:8301", Zone: "z"}})
+	require.Equal(t, 1, n.syncer.peerCount())
+}
