mesh, catalog: Feed the zone after each response of the store

Cause: since a node takes over from readers that had no response for 1.4 s, but a feed told of a response up to 0.4 s after it. Ruled out: a longer time until the takeover, 1.8 to 2.2 s, which exceeds the bound of 2 s. Change: a feed follows each response, and the interval of feeds is 0.45 s instead of 0.4 s, so that the two feeds until the next response are as many as before.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -86,7 +86,7 @@
 	// others do.
 	ReadingStopped func()
 	// Responded is called after each response of the store that is complete up to its
-	// time, before its changes are applied.
+	// time, once its changes are applied.
 	Responded func()
 	// StoreUnavailable reports whether a failed call shows that the store itself is
 	// unavailable, and not only the connection that the call used.
@@ -187,6 +187,7 @@
 	}
 	f.markConnected()
 	f.apply(l, c)
+	f.opts.Responded()
 	return nil
 }
 
@@ -214,6 +215,7 @@
 	}
 	f.markConnected()
 	f.opts.View.ApplyEvents(events, rev)
+	f.opts.Responded()
 	if len(events) == 0 {
 		return nil
 	}
@@ -239,7 +241,6 @@
 }
 
 func (f *Follower) markConnected() {
-	f.opts.Responded()
 	if f.firstReadAt.IsZero() {
 		f.firstReadAt = f.opts.Clock.Now()
 	}
--- a/mesh/converge_test.go
+++ b/mesh/converge_test.go
@@ -256,3 +256,25 @@
 		})
 	}
 }
+
+// Guards against more nodes of a zone calling the store than its readers, while
+// nothing changes: a node may hear of the readers too late and take over from them.
+func TestOnlyReadersCallStore(t *testing.T) {
+	const watched, shortestWatch = 24 * time.Second, 1200 * time.Millisecond
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newSimFleet(rand.New(rand.NewPCG(seed, 0)))
+			defer f.close()
+			f.putConfig()
+			for range maxZoneNodes {
+				f.add(0)
+			}
+			time.Sleep(convergeStart)
+			before := f.store.Requests()
+			time.Sleep(watched)
+			// Each watch may begin before and end after the time.
+			most := zoneReaders * (int(watched/shortestWatch) + 1)
+			require.LessOrEqual(t, f.store.Requests()-before, most, "seed %d", seed)
+		})
+	}
+}
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// feedInterval is the longest time between two feeds of a reader.
-	feedInterval = 400 * time.Millisecond
+	// feedInterval is the longest time between two feeds of a reader. A feed also
+	// follows each response of the store, after watchWait of package catalog if there are
+	// no changes, so that two feeds lie between.
+	feedInterval = 450 * time.Millisecond
 	// maxFeedsPerRound bounds the consecutive feeds to one node.
 	maxFeedsPerRound = 4
 )
@@ -102,8 +104,16 @@
 	return f.opts.sync.viewRequest(), nil
 }
 
-// run feeds the zone after each change and every feedInterval, while the store
-// responds to this node.
+// recordResponse records that the store has responded to this node, and feeds that:
+// without changes the zone would hear of it up to feedInterval later, and take the
+// store for away.
+func (f *feeder) recordResponse() {
+	f.contact.recordOwn()
+	f.notify()
+}
+
+// run feeds the zone after each response and change and every feedInterval, while the
+// store responds to this node.
 func (f *feeder) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -175,7 +175,7 @@
 	n.follower = catalog.NewFollower(catalog.FollowerOptions{
 		Clock: n.clock, View: n.view, Read: store.Read, Watch: store.Watch, ConnectionChanged: n.logStoreState, Random: rand.Float64,
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
-		Responded: func() { n.feeder.contact.recordOwn() }, StoreUnavailable: isStoreUnavailable, CallFailed: n.logFailedStoreCall,
+		Responded: func() { n.feeder.recordResponse() }, StoreUnavailable: isStoreUnavailable, CallFailed: n.logFailedStoreCall,
 		ReadingStopped:  n.logReadingStopped,
 		StaleReadFailed: func(err error) { n.log.WithField("error", err.Error()).Debug("stale read failed") },
 	})
--- a/mesh/simfleet_test.go
+++ b/mesh/simfleet_test.go
@@ -177,7 +177,7 @@
 			return store.Watch(ctx, after, wait)
 		},
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
-		Responded: func() { n.feeder.contact.recordOwn() }, StoreUnavailable: isStoreUnavailable,
+		Responded: func() { n.feeder.recordResponse() }, StoreUnavailable: isStoreUnavailable,
 		ConnectionChanged: func(error) {}, ReadingStopped: func() {},
 		CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
 	})
