catalog: End the pause after failed calls when other nodes read the store

Cause, from its trace: the only node of a zone that could reach the store paused for 3.8 s after the last of its failed calls in an outage. The readers found the store back 0.7 s into the pause, fed it, and were cut off at once; the node could not take over until its pause ended. Ruled out: shorter pauses of the nodes that are no readers; they spare the store during outages. Change: a pause ends once other nodes read the store, and their success ends the count of failures.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -134,7 +134,7 @@
 	for ctx.Err() == nil {
 		mode := f.opts.Mode()
 		if mode != ReadFresh {
-			wait = probeWait
+			wait, failures = probeWait, 0
 			f.markNotReading()
 			f.readStale(ctx, mode)
 			continue
@@ -158,7 +158,7 @@
 		f.markDisconnected(err)
 		pause := f.retryDelay(failures)
 		f.opts.CallFailed(err, f.opts.Clock.Since(started), pause)
-		f.sleep(ctx, pause)
+		f.pauseReading(ctx, pause)
 		wait = probeWait
 		failures++
 	}
@@ -285,6 +285,19 @@
 	return d/2 + time.Duration(f.opts.Random()*float64(d)/2)
 }
 
+// pauseReading sleeps for a time, or until other nodes read the store: this node may
+// have to take over from them at once.
+func (f *Follower) pauseReading(ctx context.Context, pause time.Duration) {
+	end := f.opts.Clock.Now().Add(pause)
+	for ctx.Err() == nil && f.opts.Mode() == ReadFresh {
+		left := f.opts.Clock.Until(end)
+		if left <= 0 {
+			return
+		}
+		f.sleep(ctx, min(left, readCheckInterval))
+	}
+}
+
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -187,6 +189,40 @@
 	require.Equal(t, []time.Duration{watchWait, probeWait, watchWait}, waits)
 }
 
+// Guards against a node that pauses after failed calls and cannot take over from the
+// readers that have found the store back meanwhile.
+func TestPauseEndsWithReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const fed, unfed, end = 2300 * time.Millisecond, 3 * time.Second, 5 * time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), end)
+		defer cancel()
+		clock, started := clockwork.NewRealClock(), time.Now()
+		v := NewView(ViewOptions{Clock: clock})
+		v.ReplaceServers(Listing{Rev: 1})
+		var calls []time.Duration
+		f := NewFollower(FollowerOptions{
+			Clock: clock, View: v, Random: func() float64 { return 1 },
+			Mode: func() ReadMode {
+				if now := time.Since(started); fed <= now && now < unfed {
+					return ReadNone
+				}
+				return ReadFresh
+			},
+			Watch: func(context.Context, uint64, time.Duration) ([]Event, uint64, error) {
+				calls = append(calls, time.Since(started))
+				return nil, 0, errors.New("down")
+			},
+			MaxRetryDelay: func() time.Duration { return end }, StoreUnavailable: func(error) bool { return true },
+			CallFailed: func(error, time.Duration, time.Duration) {}, ReadingStopped: func() {},
+		})
+		f.Run(ctx)
+		next := slices.IndexFunc(calls, func(at time.Duration) bool { return at >= fed })
+		require.Positive(t, next, calls)
+		require.Less(t, calls[next], unfed+2*readCheckInterval)
+		require.Less(t, calls[next+1]-calls[next], 2*initialRetryDelay, "the failures before do not count anymore")
+	})
+}
+
 // Guards against a stale read that takes the state back, and against one that
 // counts as a connection to the store.
 func TestStaleRead(t *testing.T) {
