trial: Check rate limits in the times in which servers name them

Trace: its node logs the limit at 17:10.7 and passes on 8 a second until 17:19.9, when all nodes are killed. The node that starts then logs no limit, so no response names one: the limit had ended. The soak drew the fault twice for that server; the second one began nothing, because the server named a limit already, but its event lasted on after the end of the first, and the check took the time of the event. Ruled out: the node; see its log. Change: the check uses the times from the begin to the end of naming a limit.

--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -77,8 +77,10 @@
 	configVersion int
 	// configStored is when the store had accepted each version.
 	configStored map[int]time.Time
-	faultNames   []string
-	appStarts    int
+	// limits are the times in which backend servers named a rate limit.
+	limits     []*limitPeriod
+	faultNames []string
+	appStarts  int
 }
 
 // meshVM is one VM: a node in its own process, a backend server, and proxies
--- a/trial/mesh_changes.go
+++ b/trial/mesh_changes.go
@@ -98,13 +98,22 @@
 	return func() { s.replaceApp(vm, old) }
 }
 
+// limitPeriod is a time in which a backend server named a rate limit.
+type limitPeriod struct {
+	appID    string
+	from, to time.Time
+}
+
 // limitApp makes the backend server name a rate limit in its responses.
 func (s *meshSoak) limitApp(vm *meshVM) func() {
 	if _, loaded := vm.announcements.LoadOrStore("Server-Limit", strconv.Itoa(meshServerLimit)); loaded {
 		return nil
 	}
 	limited := vm.app
+	period := &limitPeriod{appID: limited.ID(), from: time.Now()}
+	s.limits = append(s.limits, period)
 	return func() {
+		period.to = time.Now()
 		if vm.app == limited {
 			vm.announcements.Delete("Server-Limit")
 		}
--- a/trial/mesh_check.go
+++ b/trial/mesh_check.go
@@ -163,20 +163,17 @@
 func (s *meshSoak) checkLimit(arrivals []arrival) []string {
 	allowed := int(meshLimitFactor*meshServerLimit*meshLimitWindow.Seconds()) + meshLimitSlack
 	var violations []string
-	for _, e := range s.events {
-		if e.kind != "app-limit" {
-			continue
-		}
+	for _, p := range s.limits {
 		var times []time.Time
 		for _, a := range arrivals {
-			if a.appID == e.appID && a.At.After(e.start.Add(meshLimitSettleTime)) && a.At.Before(e.end) {
+			if a.appID == p.appID && a.At.After(p.from.Add(meshLimitSettleTime)) && a.At.Before(p.to) {
 				times = append(times, a.At)
 			}
 		}
 		slices.SortFunc(times, time.Time.Compare)
 		for i, at := range times {
 			if i >= allowed && at.Sub(times[i-allowed]) < meshLimitWindow {
-				violations = append(violations, fmt.Sprintf("%s got over %d requests within %s, limit %d a second", e.appID, allowed, meshLimitWindow, meshServerLimit))
+				violations = append(violations, fmt.Sprintf("%s got over %d requests within %s, limit %d a second", p.appID, allowed, meshLimitWindow, meshServerLimit))
 				break
 			}
 		}
