trial: Excuse a node that SIGHUP ends before its first line

Trace: the log of the process that ended so is empty; a planned stop with reloads had hit it right after its start, before its handler could be installed. It served nobody yet, as with SIGTERM. Ruled out: a handler that is missing during the stop; TestMeshSignalsWhileStopping covers that, and a process that has written a line is not excused.

--- a/trial/process.go
+++ b/trial/process.go
@@ -101,11 +101,14 @@
 	return nil
 }
 
-// endedBeforeStart reports whether SIGTERM ended the process before it wrote its
-// first line. No handler of it can be installed then, and it serves nobody yet.
+// endedBeforeStart reports whether SIGTERM or SIGHUP ended the process before it wrote
+// its first line. No handler of them can be installed then, and it serves nobody yet.
 func (p *Process) endedBeforeStart() bool {
 	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
-	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM && p.logTail() == ""
+	if !ok || !status.Signaled() || p.logTail() != "" {
+		return false
+	}
+	return status.Signal() == syscall.SIGTERM || status.Signal() == syscall.SIGHUP
 }
 
 // logTail returns the end of the process's output.
