--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -37,7 +37,8 @@
 	// that is checked.
 	stuckWatchDelay         = 400 * time.Millisecond
 	stuckWatchCheckInterval = 200 * time.Millisecond
-	// readCheckInterval is how often the mode is checked while it is ReadNone.
+	// readCheckInterval is how often the mode is checked while it is ReadNone and during
+	// the pause after a failed call.
 	readCheckInterval = 50 * time.Millisecond
 	// staleReadInterval is the time between two stale reads.
 	staleReadInterval = 250 * time.Millisecond
