mesh: Share the announcement of leaving between two tests

TestServerLeaving and TestServerLeavingListedAgain built the same header function. Assertions, bounds and requests are as before; both pass with the race detector.

--- a/mesh/announced_test.go
+++ b/mesh/announced_test.go
@@ -173,6 +173,16 @@
 	})
 }
 
+// announceWhile returns a function that makes responses say that their server leaves
+// while leaving is set.
+func announceWhile(leaving *atomic.Bool) func(http.Header) {
+	return func(h http.Header) {
+		if leaving.Load() {
+			h.Set("Server-Leaving", "1")
+		}
+	}
+}
+
 // Guards against sending requests to a backend server that says in its responses
 // that it leaves, whatever its entry in the list says.
 func TestServerLeaving(t *testing.T) {
@@ -180,11 +190,7 @@
 		var leaving atomic.Bool
 		f := startBackendFixture(standin.AppOptions{
 			ID: "i-1", Slots: 20, SelfTime: 50 * time.Millisecond,
-			SetHeaders: func(h http.Header) {
-				if leaving.Load() {
-					h.Set("Server-Leaving", "1")
-				}
-			},
+			SetHeaders: announceWhile(&leaving),
 		})
 		defer f.stop()
 		f.sendFor(time.Second, 20, func(r result) { require.Equal(t, frame.Answered, r.outcome) })
@@ -221,11 +227,7 @@
 				leaving.Store(true)
 				f := startBackendFixture(standin.AppOptions{
 					ID: "i-1", Slots: 20,
-					SetHeaders: func(h http.Header) {
-						if leaving.Load() {
-							h.Set("Server-Leaving", "1")
-						}
-					},
+					SetHeaders: announceWhile(&leaving),
 				})
 				defer f.stop()
 				f.sendFor(time.Second, 1, func(r result) { require.Equal(t, frame.Answered, r.outcome) })
