mesh: Send one feed for the changes of one response

Cause: a response of the store changes the list, the configuration and the time of the last response, one after the other, and each notifies the feeder. If its goroutine ran between two of them, it fed the zone twice, the first time with the age of the response before. Ruled out: notifying once from the follower only; changes that come from peers need it too. Change: a feed waits 2 ms for what follows the change that it carries. Before: TestOneFeedForChangesTogether sends 2 feeds.

--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -18,6 +18,9 @@
 	// follows each response of the store, after watchWait of package catalog if there are
 	// no changes, so that two feeds lie between.
 	feedInterval = 450 * time.Millisecond
+	// feedDelay is how long a feed waits for what follows the change that it carries: one
+	// response of the store may change the list and the configuration.
+	feedDelay = 2 * time.Millisecond
 	// maxFeedsPerRound bounds the consecutive feeds to one node.
 	maxFeedsPerRound = 4
 )
@@ -116,13 +119,8 @@
 // store responds to this node.
 func (f *feeder) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.pending:
-		case <-f.opts.clock.After(feedInterval):
-		}
-		if !f.opts.storeUp() {
+		f.awaitFeed(ctx)
+		if ctx.Err() != nil || !f.opts.storeUp() {
 			continue
 		}
 		addrs := f.opts.sync.zonePeers()
@@ -133,6 +131,22 @@
 	}
 }
 
+// awaitFeed waits until a feed is due or ctx is done.
+func (f *feeder) awaitFeed(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-f.opts.clock.After(feedInterval):
+		return
+	case <-f.pending:
+	}
+	f.opts.clock.Sleep(feedDelay)
+	select {
+	case <-f.pending:
+	default:
+	}
+}
+
 // deleteTargets deletes the state of nodes that are not in addrs, because they
 // left the zone.
 func (f *feeder) deleteTargets(addrs []string) {
--- a/mesh/feed_test.go
+++ b/mesh/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -125,6 +126,34 @@
 	}
 }
 
+// Guards against several feeds for one response of the store, which changes the list
+// and the configuration one after the other.
+func TestOneFeedForChangesTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock, feeds := clockwork.NewRealClock(), 0
+		view := catalog.NewView(catalog.ViewOptions{Clock: clock})
+		s := newSyncer(syncerOptions{clock: clock, view: view, selfAddr: "10.0.0.1:1", port: 1, zone: "z"})
+		s.updatePeers([]catalog.Server{{Addr: "10.0.0.2:80", Zone: "z"}})
+		f := newFeeder(feederOptions{
+			clock: clock, sync: s, storeUp: func() bool { return true },
+			sendFeed: func(context.Context, string, peer.Feed) (peer.ViewRequest, error) {
+				feeds++
+				return peer.ViewRequest{}, nil
+			},
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), feedInterval)
+		defer cancel()
+		go func() {
+			f.notify()
+			time.Sleep(feedDelay / 2)
+			f.notify()
+		}()
+		f.run(ctx)
+		synctest.Wait()
+		require.Equal(t, 1, feeds)
+	})
+}
+
 // Guards against taking an outage that only a peer had for one of the store: servers
 // that left would stay in use as if their entries had expired.
 func TestOutageOfPeer(t *testing.T) {
