mesh: Repeat a simulated run exactly, by its seed

Cause: the goroutines of a node drew from one sequence of random numbers; a peer was chosen by a random index into the keys of a map; the parts of a node, and the last node and the first configuration, started at the same time. Ruled out: one processor for the test; the race detector makes the order of goroutines random. Change: a random number follows from the seed, its purpose and the time; messages differ in their delay; the peers are sorted before one is chosen; starts lie apart.

--- a/mesh/converge_test.go
+++ b/mesh/converge_test.go
@@ -159,6 +159,7 @@
 			f.add(zone)
 		}
 	}
+	time.Sleep(f.randDuration(50 * time.Millisecond))
 	f.putConfig()
 	time.Sleep(convergeStart)
 	for began := time.Now(); time.Since(began) < convergeLength; time.Sleep(f.randDuration(time.Second)) {
@@ -241,6 +242,32 @@
 	return seeds
 }
 
+// playSeed plays the fleet of a seed and returns what broke the bounds, and when each
+// node acted on what.
+func playSeed(seed uint64) (broken, history []string) {
+	f := newSimFleet(rand.New(rand.NewPCG(seed, 0)))
+	f.zones, f.zoneNodes = 1+int(seed%maxZones), 1+int(seed/maxZones%maxZoneNodes)
+	defer f.close()
+	broken = f.play()
+	for _, n := range f.nodes {
+		history = append(history, n.history())
+	}
+	return broken, history
+}
+
+// Guards against a verdict that depends on the order in which goroutines run: a seed that
+// fails must fail again, and one that CI has passed must pass.
+func TestSimulationRepeats(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			var first, second []string
+			synctest.Test(t, func(*testing.T) { _, first = playSeed(seed) })
+			synctest.Test(t, func(*testing.T) { _, second = playSeed(seed) })
+			require.Equal(t, first, second)
+		})
+	}
+}
+
 // Guards against nodes that are in touch acting late on changes of the configuration
 // or using servers that left, after outages of the store and while the readers of a
 // zone are cut off from it, start, restart or leave.
@@ -248,10 +275,8 @@
 	for _, seed := range seedsToPlay(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newSimFleet(rand.New(rand.NewPCG(seed, 0)))
-				f.zones, f.zoneNodes = 1+int(seed%maxZones), 1+int(seed/maxZones%maxZoneNodes)
-				defer f.close()
-				require.Empty(t, f.play())
+				broken, _ := playSeed(seed)
+				require.Empty(t, broken)
 			})
 		})
 	}
--- a/mesh/simfleet_test.go
+++ b/mesh/simfleet_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
@@ -24,10 +25,12 @@
 )
 
 const (
-	// linkDelay is the usual delay of a message. One of slowMessageDivisor messages
-	// takes up to maxLinkDelay.
-	linkDelay, maxLinkDelay = 5 * time.Millisecond, 400 * time.Millisecond
-	slowMessageDivisor      = 20
+	// linkDelay is the usual delay of a message, plus up to linkJitter. The fraction
+	// slowMessages takes up to maxLinkDelay.
+	linkDelay, linkJitter, maxLinkDelay = 5 * time.Millisecond, time.Millisecond, 400 * time.Millisecond
+	slowMessages                        = 0.05
+	// startStep is the time between the starts of the parts of a node.
+	startStep = time.Millisecond
 	// callDrain is when all calls between nodes have ended after the nodes stopped.
 	callDrain = 3 * time.Second
 )
@@ -60,7 +63,7 @@
 // simNode is one node of a simFleet, with its backend server.
 type simNode struct {
 	fleet  *simFleet
-	random *nodeRand
+	random nodeRand
 	app    *standin.App
 	addr   string
 	view   *catalog.View
@@ -158,9 +161,10 @@
 
 // start starts a node.
 func (f *simFleet) start(addr, zone string, app *standin.App) *simNode {
-	random := &nodeRand{}
+	var random nodeRand
 	if f.rand != nil {
-		random.rand = rand.New(rand.NewPCG(f.rand.Uint64(), 0))
+		seed := f.rand.Uint64()
+		random.seed = &seed
 	}
 	n := &simNode{
 		fleet: f, random: random, addr: addr, app: app, configAt: make(map[uint64]time.Time), leftAt: make(map[string]time.Time),
@@ -171,9 +175,9 @@
 	client := h1.NewClient(h1.Options{Clock: f.clock, Dial: n.dialStore})
 	store := platform.NewStore("store:1", client, func(string, error) {})
 	follower := catalog.NewFollower(catalog.FollowerOptions{
-		Clock: f.clock, View: n.view, Read: store.Read, Random: random.float64,
+		Clock: f.clock, View: n.view, Read: store.Read, Random: func() float64 { return random.float64("pause") },
 		Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Event, uint64, error) {
-			defer random.delay()
+			defer random.delay("watch")
 			return store.Watch(ctx, after, wait)
 		},
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
@@ -186,19 +190,23 @@
 		receivesChanges: func() bool { return n.feeder.receivesChanges() },
 		storeWasAway:    func(window time.Duration) bool { return n.feeder.contact.wasAway(window) },
 		requestView: func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error) {
-			return callNode(ctx, n, addr, func(to *simNode) (peer.Update, error) { return to.syncer.handleView(ctx, r) })
+			return callNode(ctx, n, addr, "view", func(to *simNode) (peer.Update, error) { return to.syncer.handleView(ctx, r) })
 		},
 	})
 	n.feeder = newFeeder(feederOptions{
 		clock: f.clock, log: log, sync: n.syncer, selfAddr: n.addr, storeUp: follower.Connected, listed: func() bool { return true },
 		sendFeed: func(ctx context.Context, addr string, feed peer.Feed) (peer.ViewRequest, error) {
-			return callNode(ctx, n, addr, func(to *simNode) (peer.ViewRequest, error) { return to.feeder.handleFeed(ctx, feed) })
+			return callNode(ctx, n, addr, "feed", func(to *simNode) (peer.ViewRequest, error) { return to.feeder.handleFeed(ctx, feed) })
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){follower.Run, n.syncer.run, n.feeder.run, n.removeExpired} {
-		wg.Go(func() { run(ctx) })
+	for i, run := range []func(context.Context){follower.Run, n.syncer.run, n.feeder.run, n.removeExpired} {
+		wg.Go(func() {
+			// What starts at the same time runs in any order.
+			time.Sleep(time.Duration(i) * startStep)
+			run(ctx)
+		})
 	}
 	n.stop = func() {
 		n.stopped.Store(true)
@@ -213,10 +221,11 @@
 }
 
 // callNode calls another node. A node that has stopped does not respond.
-func callNode[T any](ctx context.Context, from *simNode, addr string, handle func(*simNode) (T, error)) (T, error) {
+func callNode[T any](ctx context.Context, from *simNode, addr, message string, handle func(*simNode) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	from.random.delay()
+	message += " " + addr
+	from.random.delay(message)
 	to := from.fleet.node(addr)
 	if to == nil || to.isolated.Load() || from.isolated.Load() {
 		var none T
@@ -224,7 +233,7 @@
 		return none, ctx.Err()
 	}
 	result, err := handle(to)
-	from.random.delay()
+	from.random.delay(message)
 	return result, err
 }
 
@@ -238,31 +247,31 @@
 	return nil
 }
 
-// nodeRand is a source of random numbers for the goroutines of one node. Without rand
-// all numbers are as large as possible.
-type nodeRand struct {
-	mu   sync.Mutex
-	rand *rand.Rand
-}
+// nodeRand draws the random numbers of one node. Without a seed all numbers are as large
+// as possible.
+type nodeRand struct{ seed *uint64 }
 
-func (r *nodeRand) float64() float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.rand == nil {
+// float64 returns a number in [0, 1) that depends only on the seed, the purpose and the
+// time. If the goroutines of a node drew numbers of one sequence, the order in which
+// they run would decide who gets which, and a seed would not repeat its run.
+func (r nodeRand) float64(purpose string) float64 {
+	if r.seed == nil {
 		return math.Nextafter(1, 0)
 	}
-	return r.rand.Float64()
+	hash := xxhash.Sum64String(fmt.Sprint(*r.seed, purpose, time.Now().UnixNano()))
+	return rand.New(rand.NewPCG(hash, 0)).Float64()
 }
 
-func (r *nodeRand) intN(n int) int { return int(r.float64() * float64(n)) }
+func (r nodeRand) intN(n int) int { return int(r.float64("index") * float64(n)) }
 
-// delay waits for a message to arrive.
-func (r *nodeRand) delay() {
-	if r.intN(slowMessageDivisor) == 0 {
-		time.Sleep(time.Duration(r.float64() * float64(maxLinkDelay)))
-		return
+// delay waits for a message to arrive. No two messages take equally long, since those
+// that arrive at the same time are handled in any order.
+func (r nodeRand) delay(message string) {
+	delay := linkDelay
+	if r.float64("slow "+message) < slowMessages {
+		delay = time.Duration(r.float64("delay "+message) * float64(maxLinkDelay))
 	}
-	time.Sleep(linkDelay)
+	time.Sleep(delay + time.Duration(r.float64("jitter "+message)*float64(linkJitter)))
 }
 
 func (n *simNode) dialStore(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -290,6 +299,14 @@
 	n.configAt[c.Version()] = time.Now()
 }
 
+// history returns when the node acted on what.
+func (n *simNode) history() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// fmt prints maps in the order of their keys.
+	return fmt.Sprint(n.addr, n.configAt, n.leftAt)
+}
+
 // recordServers records when a server was last removed.
 func (n *simNode) recordServers(servers []catalog.Server) {
 	n.mu.Lock()
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -159,10 +159,13 @@
 	return s.randomPeer()
 }
 
+// randomAddr returns one of the addresses. They come from a map: without an order the
+// choice would not follow from the random number, and a simulated run would not repeat.
 func (s *syncer) randomAddr(addrs []string) (string, bool) {
 	if len(addrs) == 0 {
 		return "", false
 	}
+	slices.Sort(addrs)
 	return addrs[s.opts.randomIntN(len(addrs))], true
 }
 
