mesh, catalog: Date the store's return by the first response to any reader

What callers would see: requests sent to a server up to 1.7 s longer than allowed after it left, at nodes in touch (DRAIN). Cause, from their traces: a node that was cut off for longer than the others, or whose connections went silent again, dated the store's return at its own next response, 2 to 4 s after readers of its zone had told it that the store responds. It kept the server that left just then as if its entry had expired, and said the same to the others; those believed it since there had been an outage within 10 s. Ruled out: a shorter window in which a peer's report counts; grace is for 1.7 s, the reports of a zone differ by more. Change: what a node and its readers heard of the store decides. There was an outage only if none of them had a response for 2.5 s, and it ended with the first response after that; a node's own failed calls and the reports of peers can date it earlier, never later.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -92,6 +92,10 @@
 	// StoreUnavailable reports whether a failed call shows that the store itself is
 	// unavailable, and not only the connection that the call used.
 	StoreUnavailable func(err error) bool
+	// SinceStoreReturn returns how long ago the store returned from its last outage, as far
+	// as this node and its readers know, and false if it was not away. It is called when
+	// a call succeeds after one that has shown that the store is unavailable.
+	SinceStoreReturn func() (ago time.Duration, away bool)
 	// CallFailed is called with the error of each failed call, how long the call
 	// took and the pause before the next one.
 	CallFailed func(err error, took, pause time.Duration)
@@ -249,12 +253,20 @@
 		return
 	}
 	if f.storeLost {
-		f.opts.View.RecordStoreReturn(0)
+		f.recordStoreReturn()
 	}
 	f.storeLost = false
 	f.opts.ConnectionChanged(nil)
 }
 
+// recordStoreReturn records when the store returned. That may be before this node's call:
+// the store may have responded to the readers while this node was cut off.
+func (f *Follower) recordStoreReturn() {
+	if ago, away := f.opts.SinceStoreReturn(); away {
+		f.opts.View.RecordStoreReturn(ago)
+	}
+}
+
 // markDisconnected records a failed call. If only its connection failed, entries did
 // not expire: the next call, on a new connection, shows whether the store is away, long
 // before any server has missed the heartbeats that its entry needs.
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -45,6 +45,12 @@
 var errTestConnection = errors.New("connection failed")
 
 func runFollower(t *testing.T, clock clockwork.Clock, v *View, steps []step) (*scriptedStore, []bool) {
+	t.Helper()
+	return runFollowerWithReturn(t, clock, v, func() (time.Duration, bool) { return 0, true }, steps)
+}
+
+// runFollowerWithReturn runs a Follower which knows from other calls when the store returned.
+func runFollowerWithReturn(t *testing.T, clock clockwork.Clock, v *View, sinceReturn func() (time.Duration, bool), steps []step) (*scriptedStore, []bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -66,7 +72,8 @@
 			st := s.next("watch")
 			return st.events, st.rev, st.err
 		},
-		Responded: func() {}, ConnectionChanged: func(err error) { connected = append(connected, err == nil) },
+		Responded: func() {}, SinceStoreReturn: sinceReturn,
+		ConnectionChanged: func(err error) { connected = append(connected, err == nil) },
 	})
 	f.Run(ctx)
 	return s, connected
@@ -123,6 +130,33 @@
 	require.Empty(t, v.Listing().Servers, "the expired server is not passed on to other nodes")
 }
 
+// Guards against using a server on that left, because this node found the store back
+// later than its readers, or was cut off from it alone.
+func TestExpiryGraceEndsWithReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		ago      time.Duration
+		away     bool
+		deferred bool
+	}{
+		{"returned just now", 0, true, true},
+		{"returned long before", expiryGrace, true, false},
+		{"responded to the readers all the time", 0, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			deferred := false
+			v := NewView(ViewOptions{Clock: clockwork.NewRealClock(), RemovalDeferred: func(Server, time.Duration) { deferred = true }})
+			sinceReturn := func() (time.Duration, bool) { return tc.ago, tc.away }
+			runFollowerWithReturn(t, clockwork.NewRealClock(), v, sinceReturn, []step{
+				{call: "read", rev: 1, list: Listing{Rev: 10, Servers: []Server{newTestServer("a", 3)}}},
+				{call: "watch", err: errors.New("down")},
+				{call: "watch", rev: 15, events: []Event{{Removed: "a", Rev: 14}}},
+			})
+			require.Equal(t, tc.deferred, deferred)
+		})
+	}
+}
+
 // Guards against using a server on that left, because a connection to the store failed
 // and the removal of its entry is taken for an expiry during an outage.
 func TestNoExpiryGraceAfterConnectionFailure(t *testing.T) {
--- a/mesh/contact.go
+++ b/mesh/contact.go
@@ -64,13 +64,16 @@
 	return at.Sub(c.own) > storeAwayGap && at.Sub(c.readers) > storeAwayGap
 }
 
-// wasAway reports whether the store was away in the window before now, as far as this
-// node and its readers know.
-func (c *storeContact) wasAway(window time.Duration) bool {
+// sinceReturn returns how long ago the store returned from its last outage, as far as this
+// node and its readers know: 0 if it has not responded since, and false if it was not away.
+func (c *storeContact) sinceReturn() (ago time.Duration, away bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	return c.isAway(now) || now.Sub(c.returned) < window
+	if c.isAway(now) {
+		return 0, true
+	}
+	return now.Sub(c.returned), !c.returned.IsZero()
 }
 
 // sinceOwn returns the time since the store last responded to this node.
--- a/mesh/feed_test.go
+++ b/mesh/feed_test.go
@@ -172,7 +172,7 @@
 			view.ReplaceServers(catalog.Listing{Rev: 1, Servers: []catalog.Server{{ID: "i-1"}}})
 			log, _ := test.NewNullLogger()
 			var f *feeder
-			s := newSyncer(syncerOptions{clock: clock, log: log, view: view, storeWasAway: func(w time.Duration) bool { return f.contact.wasAway(w) }})
+			s := newSyncer(syncerOptions{clock: clock, log: log, view: view, sinceStoreReturn: func() (time.Duration, bool) { return f.contact.sinceReturn() }})
 			f = newFeeder(feederOptions{clock: clock, sync: s})
 			for range int(storeReturnWindow/feedInterval) + 1 {
 				f.contact.recordReader(0)
@@ -192,3 +192,30 @@
 		})
 	}
 }
+
+// Guards against using a server on that left after an outage, because a peer that was cut
+// off for longer reports the store's return when it reaches the store itself.
+func TestLateReportOfReturn(t *testing.T) {
+	const reportedLate = 3 * time.Second
+	clock := clockwork.NewFakeClock()
+	deferred := false
+	view := catalog.NewView(catalog.ViewOptions{Clock: clock, RemovalDeferred: func(catalog.Server, time.Duration) { deferred = true }})
+	view.ReplaceServers(catalog.Listing{Rev: 1, Servers: []catalog.Server{{ID: "i-1"}}})
+	log, _ := test.NewNullLogger()
+	var f *feeder
+	s := newSyncer(syncerOptions{clock: clock, log: log, view: view, sinceStoreReturn: func() (time.Duration, bool) { return f.contact.sinceReturn() }})
+	f = newFeeder(feederOptions{clock: clock, sync: s})
+	feed := func(update peer.Update) {
+		_, err := f.handleFeed(context.Background(), peer.Feed{Update: update})
+		require.NoError(t, err)
+	}
+	feed(peer.Update{})
+	clock.Advance(storeAwayGap + time.Millisecond)
+	for range int(reportedLate / feedInterval) {
+		feed(peer.Update{})
+		clock.Advance(feedInterval)
+	}
+	feed(peer.Update{Rev: 2, BaseRev: 1, Changes: []catalog.Change{{Removed: "i-1", Rev: 2}}, SinceStoreRecovery: time.Millisecond})
+	require.False(t, deferred)
+	require.Empty(t, view.Listing().Servers)
+}
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -47,9 +47,9 @@
 	// receivesChanges reports whether this node receives changes, from the store or
 	// from a reader.
 	receivesChanges func() bool
-	// storeWasAway reports whether the store may have been away in a window before now.
-	// If not, the outage that a peer reports was one of the peer's own connections.
-	storeWasAway func(window time.Duration) bool
+	// sinceStoreReturn returns how long ago the store returned from its last outage, as far
+	// as this node and its readers know, and false if it was not away.
+	sinceStoreReturn func() (ago time.Duration, away bool)
 	// requestView sends r to one node and returns the update.
 	requestView func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error)
 	// randomIntN returns a number in [0, n); nil means rand.IntN.
@@ -216,8 +216,8 @@
 	if update.Rev <= s.opts.view.Rev() {
 		return
 	}
-	if update.SinceStoreRecovery > 0 && s.opts.storeWasAway(storeReturnWindow) {
-		s.opts.view.RecordStoreReturn(update.SinceStoreRecovery)
+	if update.SinceStoreRecovery > 0 {
+		s.recordStoreReturn(update.SinceStoreRecovery)
 	}
 	switch {
 	case update.List != nil:
@@ -236,6 +236,15 @@
 	}
 }
 
+// recordStoreReturn records that the store returned, by a peer's report some time ago. If
+// it was not away for this node and its readers, the peer's own connections had failed; if
+// it responded to them before that time, the peer was cut off for longer.
+func (s *syncer) recordStoreReturn(reported time.Duration) {
+	if ago, away := s.opts.sinceStoreReturn(); away {
+		s.opts.view.RecordStoreReturn(max(ago, reported))
+	}
+}
+
 // updateFor returns what is newer at this node than at the requesting one. It
 // waits until this node acts on all of that: a peer that learned first that the
 // local backend server is back would have its requests refused.
