mesh: Let starting nodes take over from readers to which the store does not respond

What callers would see: an acknowledged change not in force 2 s later at a node in touch that had started less than 4 s before (CONFIG), in zones where all readers are cut off and no other zone helps. Cause: a node in its first 4 s read for others only once it was not fed, whatever the age of the feeds. Readers whose watch hangs go on feeding. Change: the age of the feeds counts for starting nodes as for all others. The waits of nodes in the order of the readers no longer get shorter than that of the first one after them.

--- a/mesh/readers.go
+++ b/mesh/readers.go
@@ -51,22 +51,22 @@
 // reader to which the store responds.
 //
 // A node that has just started may not know yet who the readers are. It does not
-// watch while another node feeds it, and most nodes make stale reads until the
-// local backend server is listed: when a fleet starts, the servers are listed one
-// by one, and a watch by every node would return for each of them.
+// watch while another node to which the store responds feeds it, and most nodes make
+// stale reads until the local backend server is listed: when a fleet starts, the servers
+// are listed one by one, and a watch by every node would return for each of them.
 func (f *feeder) readMode() catalog.ReadMode {
 	if f.opts.sync.opts.view.Rev() == 0 {
 		return catalog.ReadFresh
 	}
 	started, unfed := f.opts.clock.Since(f.startedAt), f.sinceLastFeed()
 	rank := f.readerRank()
-	delay := min(time.Duration(rank-zoneReaders)*feedTimeoutStep, maxFeedTimeout-feedTimeout)
-	watches := rank < zoneReaders || min(started, unfed) > feedTimeout+delay ||
-		min(started, f.contact.sinceReaders()) > catalog.MaxResponseInterval+delay
+	delay := min(time.Duration(max(rank-zoneReaders, 0))*feedTimeoutStep, maxFeedTimeout-feedTimeout)
+	readersCutOff := min(started, f.contact.sinceReaders()) > catalog.MaxResponseInterval+delay
+	watches := rank < zoneReaders || min(started, unfed) > feedTimeout+delay || readersCutOff
 	switch {
 	case started <= startPeriod && !f.opts.listed() && !f.startsAsWatcher():
 		return catalog.ReadStale
-	case started <= startPeriod && unfed <= startFeedTimeout, !watches:
+	case started <= startPeriod && unfed <= startFeedTimeout && !readersCutOff, !watches:
 		return catalog.ReadNone
 	}
 	return catalog.ReadFresh
