mesh, h1: Open a new connection to the store when taking over from its readers

What callers would see: an acknowledged change not in force 2 s later at a node in touch (CONFIG), if connections to the store go silent and the readers of its zone are then cut off. Cause, from its trace: the node that took over made its first call on a connection that had been idle for 2.5 s and had gone silent meanwhile. The call took 1 s to fail; the next one, on a new connection, had the change at once. Ruled out: a shorter limit for the first call, which had tried: a slow store would fail it. Change: connections to the store stay idle for 1 s at most, longer than a reader's pauses. Price: a connection to the store for each takeover.

--- a/h1/client.go
+++ b/h1/client.go
@@ -53,6 +53,9 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// MaxIdlePerServer limits the idle connections to each address; 0 means 64.
 	MaxIdlePerServer int
+	// IdleTimeout limits how long a connection stays idle; 0 means as long as the server
+	// keeps it open.
+	IdleTimeout time.Duration
 	// RequestIDHeader is the header in which a server returns the request's id,
 	// empty if it does not. A response with another id is discarded.
 	RequestIDHeader string
@@ -298,6 +301,9 @@
 // connection can be reused.
 func (x *exchange) acceptResponse(resp *http.Response, id string) *Response {
 	x.idleTimeout = idleTimeoutOf(resp.Header)
+	if limit := x.client.opts.IdleTimeout; limit > 0 {
+		x.idleTimeout = min(x.idleTimeout, limit)
+	}
 	if resp.StatusCode/100 != 2 && id != "" {
 		x.conn.failedIDs = append(x.conn.failedIDs, id)
 	}
--- a/h1/client_test.go
+++ b/h1/client_test.go
@@ -450,3 +450,25 @@
 		require.Equal(t, reused, failed.Reused())
 	}
 }
+
+// Guards against a call on a connection that went silent unnoticed while it was idle.
+func TestIdleTimeout(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	clock, opened := clockwork.NewFakeClock(), 0
+	c := NewClient(Options{
+		Clock: clock, Dial: (&net.Dialer{}).DialContext, IdleTimeout: time.Second, ConnOpened: func(string) { opened++ },
+	})
+	defer c.Close()
+	for _, tc := range []struct {
+		idle   time.Duration
+		opened int
+	}{{0, 1}, {time.Second - 1, 1}, {time.Second, 2}} {
+		clock.Advance(tc.idle)
+		resp, err := c.Do(t.Context(), server.Listener.Addr().String(), newGet())
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, tc.opened, opened, tc.idle)
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -127,9 +127,14 @@
 func (n *Node) buildClients(dial dialFunc) {
 	n.peerHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial})
 	n.backendHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial, MaxIdlePerServer: maxIdleBackendConns, RequestIDHeader: platform.HeaderRequestID})
-	n.storeHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial})
+	n.storeHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial, IdleTimeout: storeIdleTimeout})
 }
 
+// storeIdleTimeout is longer than the pauses between the calls of a node that reads the
+// store. One that takes over from the readers opens a new connection: while an old one
+// was idle it may have gone silent unnoticed.
+const storeIdleTimeout = time.Second
+
 // maxIdleBackendConns is how many idle connections to the backend server are
 // kept: more than any server has slots, so that a burst opens no new ones.
 const maxIdleBackendConns = 256
--- a/mesh/simfleet_test.go
+++ b/mesh/simfleet_test.go
@@ -172,7 +172,7 @@
 	n.view = catalog.NewView(catalog.ViewOptions{Clock: f.clock, ServersChanged: n.recordServers, ConfigChanged: n.recordConfig})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	client := h1.NewClient(h1.Options{Clock: f.clock, Dial: n.dialStore})
+	client := h1.NewClient(h1.Options{Clock: f.clock, Dial: n.dialStore, IdleTimeout: storeIdleTimeout})
 	store := platform.NewStore("store:1", client, func(string, error) {})
 	follower := catalog.NewFollower(catalog.FollowerOptions{
 		Clock: f.clock, View: n.view, Read: store.Read, Random: func() float64 { return random.float64("pause") },
