trial: Excuse a request that reached no process of a stopped node

Cause: the check counted every failed request of the process that the stop ended, also one whose connection was refused because nothing listened yet. Ruled out: a listener that closes too early in a stop; a process that has written a line is not excused, nor a connection that was accepted and broke off. Change: an event knows its process. A refused connection to one that a signal ended before its first line is no cut. Before: TestCutByPlannedStop fails ("refused before the start").

--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -128,6 +128,8 @@
 	unplanned, affectsProcess, blocksStore bool
 	// stopsNode is set if the node of firstVM is stopped as planned.
 	stopsNode bool
+	// node is the process of firstVM's node at the start of the event.
+	node *Process
 }
 
 // affects reports whether the event affects a VM.
--- a/trial/mesh_check.go
+++ b/trial/mesh_check.go
@@ -1,10 +1,12 @@
 package trial
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"dogwoodhead/standin"
@@ -94,7 +96,8 @@
 
 // cutByPlannedStop reports whether the caller's node was stopped as planned
 // while the request was in progress. Only a fault that kills or pauses that
-// process excuses it.
+// process excuses it, or a signal that ended the process before it listened: then
+// the connection was refused, and no process got the request.
 func (s *meshSoak) cutByPlannedStop(r requestRecord) bool {
 	stopped := false
 	for _, e := range s.events {
@@ -102,7 +105,8 @@
 			return false
 		}
 		if e.stopsNode && e.firstVM == r.vm && e.nodeStarts == r.nodeStarts && !e.start.Before(r.begin) && e.start.Before(r.end) {
-			stopped = true
+			reachedNone := e.node.endedBeforeStart() && errors.Is(r.err, syscall.ECONNREFUSED)
+			stopped = stopped || !reachedNone
 		}
 	}
 	return stopped
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -208,7 +208,7 @@
 	e := event{
 		kind: f.name, start: now, end: now.Add(duration), appID: vm.app.ID(), nodeStarts: vm.nodeStarts,
 		firstVM: vm.index, vmCount: 1, totalVMs: len(s.vms), unplanned: !f.planned, affectsProcess: f.affectsProcess, blocksStore: f.blocksStore,
-		stopsNode: f.stopsNode,
+		stopsNode: f.stopsNode, node: vm.node,
 	}
 	if f.multipleVMs {
 		e.vmCount = len(s.vmGroup(vm))
--- a/trial/process_test.go
+++ b/trial/process_test.go
@@ -1,6 +1,10 @@
 package trial
 
 import (
+	"io"
+	"net/url"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,3 +34,29 @@
 		})
 	}
 }
+
+// Guards against blaming a planned stop for a request that reached no process, because
+// a signal ended the process before it listened, and against excusing any other one.
+func TestCutByPlannedStop(t *testing.T) {
+	refused := &url.Error{Op: "Get", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	for _, tc := range []struct {
+		name, script string
+		started      bool
+		err          error
+		cut          bool
+	}{
+		{"refused before the start", "exec sleep 60", false, refused, false},
+		{"broken off before the start", "exec sleep 60", false, io.ErrUnexpectedEOF, true},
+		{"refused by a process that had started", "echo started; exec sleep 60", true, refused, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p, err := startProcess(t.TempDir(), "p", "/bin/sh", "-c", tc.script)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return !tc.started || p.logTail() != "" }, time.Minute, time.Millisecond)
+			require.Error(t, p.Stop(time.Minute))
+			now := time.Now()
+			s := &meshSoak{events: []event{{stopsNode: true, start: now, end: now, vmCount: 1, totalVMs: 1, node: p}}}
+			require.Equal(t, tc.cut, s.cutByPlannedStop(requestRecord{begin: now.Add(-time.Second), end: now.Add(time.Second), err: tc.err}))
+		})
+	}
+}
