mesh, catalog: Name the end of an outage apart from the return that a view records

View.SinceStoreReturn tells what was recorded for the grace of expired entries; the option of the same name told what a node and its readers heard of the store.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -92,10 +92,10 @@
 	// StoreUnavailable reports whether a failed call shows that the store itself is
 	// unavailable, and not only the connection that the call used.
 	StoreUnavailable func(err error) bool
-	// SinceStoreReturn returns how long ago the store returned from its last outage, as far
-	// as this node and its readers know, and false if it was not away. It is called when
-	// a call succeeds after one that has shown that the store is unavailable.
-	SinceStoreReturn func() (ago time.Duration, away bool)
+	// OutageEnded returns how long ago the store's last outage ended, as far as this node
+	// and its readers know, and false if there was none. It is called when a call
+	// succeeds after one that has shown that the store is unavailable.
+	OutageEnded func() (ago time.Duration, away bool)
 	// CallFailed is called with the error of each failed call, how long the call
 	// took and the pause before the next one.
 	CallFailed func(err error, took, pause time.Duration)
@@ -262,7 +262,7 @@
 // recordStoreReturn records when the store returned. That may be before this node's call:
 // the store may have responded to the readers while this node was cut off.
 func (f *Follower) recordStoreReturn() {
-	if ago, away := f.opts.SinceStoreReturn(); away {
+	if ago, away := f.opts.OutageEnded(); away {
 		f.opts.View.RecordStoreReturn(ago)
 	}
 }
--- a/catalog/follow_test.go
+++ b/catalog/follow_test.go
@@ -46,11 +46,11 @@
 
 func runFollower(t *testing.T, clock clockwork.Clock, v *View, steps []step) (*scriptedStore, []bool) {
 	t.Helper()
-	return runFollowerWithReturn(t, clock, v, func() (time.Duration, bool) { return 0, true }, steps)
+	return runFollowerAfterOutage(t, clock, v, func() (time.Duration, bool) { return 0, true }, steps)
 }
 
-// runFollowerWithReturn runs a Follower which knows from other calls when the store returned.
-func runFollowerWithReturn(t *testing.T, clock clockwork.Clock, v *View, sinceReturn func() (time.Duration, bool), steps []step) (*scriptedStore, []bool) {
+// runFollowerAfterOutage runs a Follower which knows from other calls when the store returned.
+func runFollowerAfterOutage(t *testing.T, clock clockwork.Clock, v *View, outageEnded func() (time.Duration, bool), steps []step) (*scriptedStore, []bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -72,7 +72,7 @@
 			st := s.next("watch")
 			return st.events, st.rev, st.err
 		},
-		Responded: func() {}, SinceStoreReturn: sinceReturn,
+		Responded: func() {}, OutageEnded: outageEnded,
 		ConnectionChanged: func(err error) { connected = append(connected, err == nil) },
 	})
 	f.Run(ctx)
@@ -146,8 +146,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			deferred := false
 			v := NewView(ViewOptions{Clock: clockwork.NewRealClock(), RemovalDeferred: func(Server, time.Duration) { deferred = true }})
-			sinceReturn := func() (time.Duration, bool) { return tc.ago, tc.away }
-			runFollowerWithReturn(t, clockwork.NewRealClock(), v, sinceReturn, []step{
+			outageEnded := func() (time.Duration, bool) { return tc.ago, tc.away }
+			runFollowerAfterOutage(t, clockwork.NewRealClock(), v, outageEnded, []step{
 				{call: "read", rev: 1, list: Listing{Rev: 10, Servers: []Server{newTestServer("a", 3)}}},
 				{call: "watch", err: errors.New("down")},
 				{call: "watch", rev: 15, events: []Event{{Removed: "a", Rev: 14}}},
--- a/mesh/contact.go
+++ b/mesh/contact.go
@@ -64,9 +64,9 @@
 	return at.Sub(c.own) > storeAwayGap && at.Sub(c.readers) > storeAwayGap
 }
 
-// sinceReturn returns how long ago the store returned from its last outage, as far as this
-// node and its readers know: 0 if it has not responded since, and false if it was not away.
-func (c *storeContact) sinceReturn() (ago time.Duration, away bool) {
+// outageEnded returns how long ago the store's last outage ended, as far as this node and
+// its readers know: 0 if the store has not responded since, and false if there was none.
+func (c *storeContact) outageEnded() (ago time.Duration, away bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
--- a/mesh/feed_test.go
+++ b/mesh/feed_test.go
@@ -180,7 +180,7 @@
 			view.ReplaceServers(catalog.Listing{Rev: 1, Servers: []catalog.Server{{ID: "i-1"}}})
 			log, _ := test.NewNullLogger()
 			var f *feeder
-			s := newSyncer(syncerOptions{clock: clock, log: log, view: view, sinceStoreReturn: func() (time.Duration, bool) { return f.contact.sinceReturn() }})
+			s := newSyncer(syncerOptions{clock: clock, log: log, view: view, outageEnded: func() (time.Duration, bool) { return f.contact.outageEnded() }})
 			f = newFeeder(feederOptions{clock: clock, sync: s})
 			for range int(storeReturnWindow/feedInterval) + 1 {
 				f.contact.recordReader(0)
@@ -211,7 +211,7 @@
 	view.ReplaceServers(catalog.Listing{Rev: 1, Servers: []catalog.Server{{ID: "i-1"}}})
 	log, _ := test.NewNullLogger()
 	var f *feeder
-	s := newSyncer(syncerOptions{clock: clock, log: log, view: view, sinceStoreReturn: func() (time.Duration, bool) { return f.contact.sinceReturn() }})
+	s := newSyncer(syncerOptions{clock: clock, log: log, view: view, outageEnded: func() (time.Duration, bool) { return f.contact.outageEnded() }})
 	f = newFeeder(feederOptions{clock: clock, sync: s})
 	feed := func(update peer.Update) {
 		_, err := f.handleFeed(context.Background(), peer.Feed{Update: update})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -181,7 +181,7 @@
 		Clock: n.clock, View: n.view, Read: store.Read, Watch: store.Watch, ConnectionChanged: n.logStoreState, Random: rand.Float64,
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
 		Responded: func() { n.feeder.recordResponse() }, StoreUnavailable: isStoreUnavailable, CallFailed: n.logFailedStoreCall,
-		SinceStoreReturn: func() (time.Duration, bool) { return n.feeder.contact.sinceReturn() }, ReadingStopped: n.logReadingStopped,
+		OutageEnded: func() (time.Duration, bool) { return n.feeder.contact.outageEnded() }, ReadingStopped: n.logReadingStopped,
 		StaleReadFailed: func(err error) { n.log.WithField("error", err.Error()).Debug("stale read failed") },
 	})
 	n.controlClient = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: n.controlMetrics, Dial: dial})
@@ -190,7 +190,7 @@
 		// The other nodes know this one by the address of its backend server.
 		selfAddr: onPort(n.settings.BackendAddr(), n.settings.ControlPort()), port: n.settings.ControlPort(),
 		zone: n.settings.Zone(), receivesChanges: func() bool { return n.feeder.receivesChanges() },
-		sinceStoreReturn: func() (time.Duration, bool) { return n.feeder.contact.sinceReturn() }, requestView: n.controlClient.View,
+		outageEnded: func() (time.Duration, bool) { return n.feeder.contact.outageEnded() }, requestView: n.controlClient.View,
 	})
 	n.feeder = newFeeder(feederOptions{
 		clock: n.clock, log: n.log, sync: n.syncer, selfAddr: n.syncer.opts.selfAddr, storeUp: n.follower.Connected, sendFeed: n.controlClient.Feed,
--- a/mesh/simfleet_test.go
+++ b/mesh/simfleet_test.go
@@ -182,14 +182,14 @@
 		},
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
 		Responded: func() { n.feeder.recordResponse() }, StoreUnavailable: isStoreUnavailable,
-		SinceStoreReturn:  func() (time.Duration, bool) { return n.feeder.contact.sinceReturn() },
+		OutageEnded:       func() (time.Duration, bool) { return n.feeder.contact.outageEnded() },
 		ConnectionChanged: func(error) {}, ReadingStopped: func() {},
 		CallFailed: func(error, time.Duration, time.Duration) {}, StaleReadFailed: func(error) {},
 	})
 	n.syncer = newSyncer(syncerOptions{
 		clock: f.clock, log: log, view: n.view, selfAddr: n.addr, port: 1, zone: zone, randomIntN: random.intN,
-		receivesChanges:  func() bool { return n.feeder.receivesChanges() },
-		sinceStoreReturn: func() (time.Duration, bool) { return n.feeder.contact.sinceReturn() },
+		receivesChanges: func() bool { return n.feeder.receivesChanges() },
+		outageEnded:     func() (time.Duration, bool) { return n.feeder.contact.outageEnded() },
 		requestView: func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error) {
 			return callNode(ctx, n, addr, "view", func(to *simNode) (peer.Update, error) { return to.syncer.handleView(ctx, r) })
 		},
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -47,9 +47,9 @@
 	// receivesChanges reports whether this node receives changes, from the store or
 	// from a reader.
 	receivesChanges func() bool
-	// sinceStoreReturn returns how long ago the store returned from its last outage, as far
-	// as this node and its readers know, and false if it was not away.
-	sinceStoreReturn func() (ago time.Duration, away bool)
+	// outageEnded returns how long ago the store's last outage ended, as far as this node
+	// and its readers know, and false if there was none.
+	outageEnded func() (ago time.Duration, away bool)
 	// requestView sends r to one node and returns the update.
 	requestView func(ctx context.Context, addr string, r peer.ViewRequest) (peer.Update, error)
 	// randomIntN returns a number in [0, n); nil means rand.IntN.
@@ -240,7 +240,7 @@
 // it was not away for this node and its readers, the peer's own connections had failed; if
 // it responded to them before that time, the peer was cut off for longer.
 func (s *syncer) recordStoreReturn(reported time.Duration) {
-	if ago, away := s.opts.sinceStoreReturn(); away {
+	if ago, away := s.opts.outageEnded(); away {
 		s.opts.view.RecordStoreReturn(max(ago, reported))
 	}
 }
