--- a/mesh/feed_test.go
+++ b/mesh/feed_test.go
@@ -209,7 +209,7 @@
 	deferred := false
 	view := catalog.NewView(catalog.ViewOptions{Clock: clock, RemovalDeferred: func(catalog.Server, time.Duration) { deferred = true }})
 	view.ReplaceServers(catalog.Listing{Rev: 1, Servers: []catalog.Server{{ID: "i-1"}}})
-	log, _ := test.NewNullLogger()
+	log, lines := test.NewNullLogger()
 	var f *feeder
 	s := newSyncer(syncerOptions{clock: clock, log: log, view: view, outageEnded: func() (time.Duration, bool) { return f.contact.outageEnded() }})
 	f = newFeeder(feederOptions{clock: clock, sync: s})
@@ -226,4 +226,6 @@
 	feed(peer.Update{Rev: 2, BaseRev: 1, Changes: []catalog.Change{{Removed: "i-1", Rev: 2}}, SinceStoreRecovery: time.Millisecond})
 	require.False(t, deferred)
 	require.Empty(t, view.Listing().Servers)
+	const returned = reportedLate / feedInterval * feedInterval
+	require.EqualValues(t, returned.Milliseconds(), lines.LastEntry().Data["returned"], "the line tells when the store returned")
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -216,6 +216,9 @@
 		n.log.WithFields(fields).Warn("store lost")
 		return
 	}
+	if ago, away := n.view.SinceStoreReturn(); away {
+		fields["returned"] = ago.Milliseconds()
+	}
 	n.log.WithFields(fields).Info("store connected")
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -232,10 +232,20 @@
 		return
 	}
 	if update.List != nil || len(update.Changes) > 0 {
-		s.opts.log.WithFields(logrus.Fields{"peer": from, "list": update.Rev, "changes": len(update.Changes)}).Info("list from peer")
+		s.logListFrom(from, update)
 	}
 }
 
+// logListFrom logs a list from a peer, and when the store returned, from when on entries
+// that are removed may have expired.
+func (s *syncer) logListFrom(from string, update peer.Update) {
+	fields := logrus.Fields{"peer": from, "list": update.Rev, "changes": len(update.Changes)}
+	if ago, away := s.opts.view.SinceStoreReturn(); away {
+		fields["returned"] = ago.Milliseconds()
+	}
+	s.opts.log.WithFields(fields).Info("list from peer")
+}
+
 // recordStoreReturn records that the store returned, by a peer's report some time ago. If
 // it was not away for this node and its readers, the peer's own connections had failed; if
 // it responded to them before that time, the peer was cut off for longer.
