--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -211,3 +211,8 @@
 		Timeout: timeout, LatencyGoal: timeout / 2, Priority: priority, MaxAttempts: 2,
 	}
 }
+
+// asTimeout reports whether err is a timeout.
+func asTimeout(err error, timeout *net.Error) bool {
+	return errors.As(err, timeout) && (*timeout).Timeout()
+}
