review: Waiting requests are cut by a planned stop

A stopping node closes the connections of requests that still wait for a slot at another node, without an answer. The cases after it move on by one.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]caseFunc{
 	"early": runEarly,
 	"pause": runPause,
+	"queue": runQueue,
 	"child": runChild,
 }
 
