mesh: Withdraw requests that wait for a slot before a planned stop ends

Cause: a request may wait for a slot at another node for as long as it has time left, and that node does not know when the node that sent it ends. The stop closed the connections; the requests left the queue by that close, too late to be answered.

Evidence: on the stopping node logs `stop` with 5 requests after 5.3 s, one attempt each, and the node beside the server logs "cancelled in the queue" in the same millisecond. Ruled out: repeated attempts (`offers` is 1), a stop that ends early or does not count the connections (5.3 s, 5 requests). A shorter wait for the first class was not taken: it loses what was sent before the SIGTERM all the same.

Change: 1 s before the end of the grace time the node withdraws its requests by a control message. The nodes that have them refuse those that wait, as not run, in the ordinary response, so the caller gets a truthful 503 with a Retry-After. A request that has its slot goes on.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -92,7 +92,7 @@
 // prepareNextAttempt reports whether another node may be asked. It takes a permit
 // where one is needed and marks the request as a retry.
 func (in *ingress) prepareNextAttempt(ctx context.Context, c *call, stats *requestStats, r result) bool {
-	if ctx.Err() != nil || c.stream != nil {
+	if ctx.Err() != nil || c.stream != nil || in.opts.sent.isClosed() {
 		return false
 	}
 	if r.outcome == frame.NotRun {
@@ -132,6 +132,10 @@
 	if vm.Name() == in.localID() {
 		return in.opts.localBackend.run(ctx, c, vm.Name())
 	}
+	if !in.opts.sent.add(c, vm.ControlAddr()) {
+		return refused(frame.ReasonLeaving, "the node is stopping")
+	}
+	defer in.opts.sent.remove(c)
 	return in.opts.client.run(ctx, c, vm)
 }
 
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -42,6 +42,7 @@
 	splitter     *splitter
 	localBackend *localBackend
 	client       *peerClient
+	sent         *sentRequests
 	metrics      *operator.Metrics
 	// bodyMemory limits the bytes of all buffered request and response bodies.
 	bodyMemory *semaphore.Weighted
--- a/mesh/localbackend.go
+++ b/mesh/localbackend.go
@@ -56,6 +56,9 @@
 	// childBackpressure holds what the child requests of each route report.
 	childBackpressure *routeBackpressure
 
+	// waiting holds the requests that wait for a slot.
+	waiting *waitingRequests
+
 	mu sync.Mutex
 	// running holds the requests at the backend server by id.
 	running map[string]*call
@@ -64,7 +67,7 @@
 func newLocalBackend(opts localBackendOptions) *localBackend {
 	return &localBackend{
 		opts: opts, running: make(map[string]*call), health: newHealth(opts.clock), announced: newAnnounced(opts.log, opts.gate),
-		childBackpressure: newRouteBackpressure(opts.clock),
+		childBackpressure: newRouteBackpressure(opts.clock), waiting: newWaitingRequests(),
 	}
 }
 
@@ -138,13 +141,7 @@
 	if r, ok := b.unavailable(instance); ok {
 		return r
 	}
-	timeLeft := c.timeLeft(b.opts.clock.Now())
-	ticket, err := b.opts.gate.Enter(ctx, admit.Call{
-		Priority:     frame.NewLevel(c.class, c.rank()),
-		TimeLeft:     timeLeft,
-		Target:       c.operation(),
-		MaxQueueWait: maxQueueWait(c, timeLeft),
-	})
+	ticket, err := b.enter(ctx, c)
 	var refusal *frame.OutcomeError
 	if errors.As(err, &refusal) {
 		return refused(refusal.Reason(), refusal.Detail())
@@ -169,6 +166,29 @@
 	return r
 }
 
+// enter waits for a slot. The wait also ends if the request is withdrawn.
+func (b *localBackend) enter(ctx context.Context, c *call) (*admit.Ticket, error) {
+	ctx = b.waiting.add(ctx, c)
+	defer b.waiting.remove(c)
+	timeLeft := c.timeLeft(b.opts.clock.Now())
+	ticket, err := b.opts.gate.Enter(ctx, admit.Call{
+		Priority:     frame.NewLevel(c.class, c.rank()),
+		TimeLeft:     timeLeft,
+		Target:       c.operation(),
+		MaxQueueWait: maxQueueWait(c, timeLeft),
+	})
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, errWithdrawn) {
+		return nil, frame.NotRunError(frame.ReasonLeaving, cause.Error())
+	}
+	return ticket, err
+}
+
+// withdraw refuses those of another node's requests that wait for a slot.
+func (b *localBackend) withdraw(_ context.Context, w peer.Withdrawal) error {
+	b.waiting.withdraw(w.IDs)
+	return nil
+}
+
 // unavailable returns a refusal and true if the instance takes no new work.
 func (b *localBackend) unavailable(instance string) (result, bool) {
 	if b.opts.leaving() {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -67,6 +67,7 @@
 	localBackend   *localBackend
 	ingress        *ingress
 	peerServer     *peerServer
+	sent           *sentRequests
 	syncer         *syncer
 	feeder         *feeder
 	metrics        *operator.Metrics
@@ -117,8 +118,9 @@
 	n.chooser = route.NewChooser(n.board, route.Options{Clock: clock, Rand: newRand(), SpillThreshold: spillUtilisation})
 	n.view = catalog.NewView(catalog.ViewOptions{Clock: clock, ServersChanged: n.applyServers, ConfigChanged: n.applyConfig, RemovalDeferred: n.logDeferredRemoval})
 	n.buildClients(dial)
+	n.controlClient = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: n.controlMetrics, Dial: dial})
 	n.buildCallPath()
-	n.buildControl(dial)
+	n.buildControl()
 	return n
 }
 
@@ -165,15 +167,16 @@
 		addr: n.settings.BackendAddr(), leaving: n.backendClosed.Load,
 	})
 	n.peerServer = &peerServer{clock: n.clock, localBackend: n.localBackend, bodyMemory: n.bodyMemory, service: n.settings.Service()}
+	n.sent = newSentRequests(n.log, n.controlClient.Withdraw)
 	n.ingress = newIngress(ingressOptions{
 		clock: n.clock, log: n.log, view: n.view, board: n.board, chooser: n.chooser, budgets: n.budgets,
-		splitter: n.splitter, localBackend: n.localBackend, client: &peerClient{clock: n.clock, http: n.peerHTTP, bodyMemory: n.bodyMemory}, metrics: n.metrics,
+		splitter: n.splitter, localBackend: n.localBackend, client: &peerClient{clock: n.clock, http: n.peerHTTP, bodyMemory: n.bodyMemory}, metrics: n.metrics, sent: n.sent,
 		bodyMemory: n.bodyMemory,
 		service:    n.settings.Service(), random: rand.Float64, leaving: n.leaving.Load, closed: n.callersClosed.Load,
 	})
 }
 
-func (n *Node) buildControl(dial dialFunc) {
+func (n *Node) buildControl() {
 	store := platform.NewStore(n.settings.StoreAddr(), n.storeHTTP, func(key string, err error) {
 		n.log.WithFields(logrus.Fields{"key": key, "error": err.Error()}).Warn("entry names no backend server")
 	})
@@ -184,7 +187,6 @@
 		OutageEnded: func() (time.Duration, bool) { return n.feeder.contact.outageEnded() }, ReadingStopped: n.logReadingStopped,
 		StaleReadFailed: func(err error) { n.log.WithField("error", err.Error()).Debug("stale read failed") },
 	})
-	n.controlClient = peer.NewControlClient(peer.ControlClientOptions{Clock: n.clock, Metrics: n.controlMetrics, Dial: dial})
 	n.syncer = newSyncer(syncerOptions{
 		clock: n.clock, log: n.log, view: n.view,
 		// The other nodes know this one by the address of its backend server.
@@ -197,7 +199,7 @@
 		listed: func() bool { return n.localBackend.server.Load() != nil },
 	})
 	n.controlServer = peer.NewControlServer(peer.ControlServerOptions{
-		Metrics: n.controlMetrics, Handlers: peer.Handlers{View: n.syncer.handleView, Feed: n.feeder.handleFeed},
+		Metrics: n.controlMetrics, Handlers: peer.Handlers{View: n.syncer.handleView, Feed: n.feeder.handleFeed, Withdraw: n.localBackend.withdraw},
 	})
 }
 
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
@@ -30,6 +31,11 @@
 	drainDelayFraction = 0.5
 	// exitMargin is the part of the grace period reserved for exiting.
 	exitMargin = 700 * time.Millisecond
+	// withdrawMargin is the time before exitMargin in which requests that wait for a
+	// slot are withdrawn and refused, withdrawInterval how often: a request may be on
+	// its way to the node that holds it.
+	withdrawMargin   = 300 * time.Millisecond
+	withdrawInterval = 100 * time.Millisecond
 	// shutdownWait bounds the wait for background goroutines at shutdown.
 	shutdownWait = 200 * time.Millisecond
 	// drainPoll is the interval between checks for requests in progress.
@@ -144,7 +150,8 @@
 
 // shutDown stops the node gracefully. It refuses new work for the backend server
 // after backendDrainDelay and new requests of callers after callerDrainDelay, then
-// waits within the grace period for the requests in progress.
+// waits within the grace period for the requests in progress. Those that still wait
+// for a slot near its end are withdrawn.
 func (n *Node) shutDown(callListener, outboundListener *peer.Listener, listeners []*peer.Listener) {
 	started := n.clock.Now()
 	n.log.WithFields(logrus.Fields{"calls": callListener.BusyConns(), "requests": outboundListener.BusyConns()}).Info("stopping")
@@ -157,7 +164,9 @@
 	n.clock.Sleep(min(callerDrainDelay, maxDelay) - n.clock.Since(started))
 	n.callersClosed.Store(true)
 	outboundListener.StopAccepting()
-	n.waitUntil(deadline, func() bool { return outboundListener.BusyConns() == 0 && callListener.BusyConns() == 0 })
+	idle := func() bool { return outboundListener.BusyConns() == 0 && callListener.BusyConns() == 0 }
+	n.waitUntil(deadline.Add(-withdrawMargin), idle)
+	n.withdrawUntil(deadline, idle)
 	for _, l := range listeners {
 		l.Close()
 	}
@@ -166,6 +175,18 @@
 	}).Info("stop")
 }
 
+// withdrawUntil withdraws the requests that wait for a slot of other nodes, until
+// the deadline or until done returns true.
+func (n *Node) withdrawUntil(deadline time.Time, done func() bool) {
+	ctx, cancel := clockwork.WithDeadline(context.Background(), n.clock, deadline)
+	defer cancel()
+	for n.clock.Now().Before(deadline) && !done() {
+		n.sent.withdraw(ctx)
+		repeatAt := n.clock.Now().Add(withdrawInterval)
+		n.waitUntil(repeatAt, func() bool { return done() || !n.clock.Now().Before(deadline) })
+	}
+}
+
 // waitUntil waits until the deadline or until done returns true.
 func (n *Node) waitUntil(deadline time.Time, done func() bool) {
 	for n.clock.Now().Before(deadline) && !done() {
--- a/peer/control.go
+++ b/peer/control.go
@@ -22,6 +22,7 @@
 	methodPull      = "pull"
 	methodView      = "view"
 	methodFeed      = "feed"
+	methodWithdraw  = "withdraw"
 )
 
 const (
@@ -60,6 +61,13 @@
 	View func(context.Context, ViewRequest) (Update, error)
 	// Feed applies an update and returns the versions that this node has after it.
 	Feed func(context.Context, Feed) (ViewRequest, error)
+	// Withdraw refuses those of the sender's requests that wait for a slot.
+	Withdraw func(context.Context, Withdrawal) error
+}
+
+// Withdrawal names requests that their sender can't wait for any longer.
+type Withdrawal struct {
+	IDs []string `json:"ids"`
 }
 
 // handle runs the handler of a request and returns its result.
@@ -79,6 +87,8 @@
 		return serveMethod(ctx, req, h.View)
 	case methodFeed:
 		return serveMethod(ctx, req, h.Feed)
+	case methodWithdraw:
+		return serveMethod(ctx, req, acknowledge(h.Withdraw))
 	default:
 		return nil, fmt.Errorf("%w: %q", jsonrpc2.ErrMethodNotFound, req.Method)
 	}
--- a/peer/control_client.go
+++ b/peer/control_client.go
@@ -110,6 +110,12 @@
 	return call[ViewRequest](ctx, c, addr, methodFeed, f)
 }
 
+// Withdraw asks a node to refuse those of this node's requests that wait there.
+func (c *ControlClient) Withdraw(ctx context.Context, addr string, w Withdrawal) error {
+	_, err := call[ack](ctx, c, addr, methodWithdraw, w)
+	return err
+}
+
 // Run closes idle connections until ctx is done, then all connections.
 func (c *ControlClient) Run(ctx context.Context) {
 	ticker := c.opts.Clock.NewTicker(c.opts.IdleTimeout / 4)
