mesh: Refuse waiting requests at once when a node stops

Callers saw: a request that waited in the queue of a stopping node beside its backend server was kept until a slot was free or the node ended.

Cause: the end of work for the backend server was checked before and after the wait for a slot, not during it.

Change: the gate is closed at that moment, which refuses all that wait. The product's own interface does the same when it starts to leave.

TestStopRefusesQueue on: 502 after 7.3 s, want 503; with the change 503 while the other request still runs, which ends with 200. The tests of stops, restarts and leaving servers pass with the race detector.

--- a/mesh/run.go
+++ b/mesh/run.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"dogwoodhead/frame"
 	"dogwoodhead/peer"
 	"dogwoodhead/platform"
 )
@@ -148,8 +149,8 @@
 	return mux
 }
 
-// shutDown stops the node gracefully. It refuses new work for the backend server
-// after backendDrainDelay and new requests of callers after callerDrainDelay, then
+// shutDown stops the node gracefully. It refuses work for the backend server that
+// has no slot after backendDrainDelay, and new requests of callers after callerDrainDelay, then
 // waits within the grace period for the requests in progress. Those that still wait
 // for a slot near its end are withdrawn.
 func (n *Node) shutDown(callListener, outboundListener *peer.Listener, listeners []*peer.Listener) {
@@ -161,6 +162,7 @@
 	maxDelay := time.Duration(drainDelayFraction * float64(grace))
 	n.clock.Sleep(min(backendDrainDelay, maxDelay))
 	n.backendClosed.Store(true)
+	n.gate.Close(frame.ReasonLeaving)
 	n.clock.Sleep(min(callerDrainDelay, maxDelay) - n.clock.Since(started))
 	n.callersClosed.Store(true)
 	outboundListener.StopAccepting()
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -97,6 +97,34 @@
 	require.True(t, ok && p.ConsecutiveFailures > 0 && !p.AvoidUntil.IsZero(), "the node is avoided")
 }
 
+// Guards against a stopping node keeping requests of other nodes in its queue, until
+// a slot is free or its end, instead of refusing them while they can be sent elsewhere.
+func TestStopRefusesQueue(t *testing.T) {
+	f := newFleet(t)
+	refused := make(chan struct{})
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	busy := f.add(standin.AppOptions{ID: "i-busy", Service: "busy", Slots: 1, Fault: func(string) standin.AppFault {
+		<-refused
+		return ""
+	}})
+	route := routeTo("busy", "/busy/", "unsafe")
+	route.Priority = 0 // requests of the highest priority wait for as long as they have time
+	f.applyConfig(1, route)
+	running := make(chan callerResponse, 1)
+	go func() { running <- shop.send(callerRequest{path: "/busy/", id: "running"}) }()
+	require.Eventually(t, func() bool { return len(busy.app.Arrivals()) == 1 }, waitLimit, time.Millisecond)
+	waiting := make(chan callerResponse, 1)
+	go func() { waiting <- shop.send(callerRequest{path: "/busy/", id: "waiting"}) }()
+	require.Eventually(t, func() bool { return busy.node.gate.Load().Used() == 2 }, waitLimit, time.Millisecond)
+	busy.node.grace.Store(int64(8 * time.Second))
+	busy.stop()
+	require.Equal(t, http.StatusServiceUnavailable, (<-waiting).status)
+	close(refused)
+	require.Equal(t, http.StatusOK, (<-running).status, "the other request was refused while this one ran")
+	require.Zero(t, busy.app.Runs("waiting"))
+	require.NoError(t, <-busy.done)
+}
+
 // Guards against peers treating a restarted node as still leaving.
 func TestRestart(t *testing.T) {
 	f := newFleet(t)
