mesh: Bound the deadlines of requests taken during a planned stop by its end

Cause: the time left of a request was that of its caller, also at a node that ends sooner. Calls of running requests were taken however late.

Evidence: on the calls sent 3.0 to 3.3 s after the SIGTERM (2 s of work) are answered, those from 3.4 s on are cut at 5.312 s, when the node logs `stop` with 8 requests. Ruled out: waits for a slot (load 5/75), an early end of the stop. Refusing all calls from some moment on was not taken: short calls would fail too, and their requests with them.

Change: requests taken during a stop get no later deadline than 1 s before the end of the grace time, which gates, servers and their own calls then reckon with, and are refused as not run if requests of their route take longer than that.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -14,6 +14,7 @@
 // route tries nodes in turn until one has run the request or none may be asked.
 func (in *ingress) route(ctx context.Context, c *call, stats *requestStats) result {
 	in.opts.budgets.countRequest(in.budgetKeyOf(c), c.isRetry)
+	started := in.opts.clock.Now()
 	var tried []string
 	combined := refused(frame.ReasonDown, "no backend server of "+c.service+" is listed")
 	for len(tried) < maxAttempts {
@@ -42,6 +43,9 @@
 			break
 		}
 	}
+	if combined.outcome == frame.Answered {
+		in.durations.add(c.route, in.opts.clock.Since(started))
+	}
 	return combined
 }
 
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -45,8 +45,11 @@
 	class int
 	// isRetry reports that the request is a retry or a child request of one.
 	isRetry bool
-	// deadline is in this node's clock.
+	// deadline is in this node's clock. It is passed on with the request.
 	deadline time.Time
+	// giveUpAt is when this node stops waiting for a response: the deadline, or
+	// later if the end of this node bounds the deadline.
+	giveUpAt time.Time
 	// objective is the latency within which the response has its full value; 0
 	// at the node beside the backend server.
 	objective time.Duration
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -52,6 +52,9 @@
 	// leaving reports whether the process is shutting down, closed whether it accepts
 	// no new requests of callers anymore.
 	leaving, closed func() bool
+	// latestDeadline returns the latest deadline of new requests and true if the
+	// process is shutting down.
+	latestDeadline func() (time.Time, bool)
 }
 
 // ingress serves the requests that originate on this VM, from callers and from
@@ -63,10 +66,11 @@
 	// leafRoutes records whether each route is a leaf.
 	leafRoutes *board.Table[string, bool]
 	latencies  *latencies
+	durations  *durations
 }
 
 func newIngress(opts ingressOptions) *ingress {
-	return &ingress{opts: opts, backpressure: newRouteBackpressure(opts.clock), leafRoutes: board.NewTable[string, bool](), latencies: newLatencies(opts.clock)}
+	return &ingress{opts: opts, backpressure: newRouteBackpressure(opts.clock), leafRoutes: board.NewTable[string, bool](), latencies: newLatencies(opts.clock), durations: newDurations()}
 }
 
 // requestStats collects what the log line of one request needs.
@@ -92,7 +96,7 @@
 		in.reject(w, c, stats, status)
 		return
 	}
-	ctx, cancel := clockwork.WithDeadline(r.Context(), in.opts.clock, c.deadline)
+	ctx, cancel := clockwork.WithDeadline(r.Context(), in.opts.clock, c.giveUpAt)
 	defer cancel()
 	res := refused(frame.ReasonCancelled, "the caller has disconnected")
 	if !peer.Disconnected(r.Context()) {
@@ -182,7 +186,11 @@
 		c.isRetry = parent.isRetry
 		c.parent = parent
 	}
-	c.deadline = stats.started.Add(timeoutOf(r.Header, match.Timeout))
+	c.giveUpAt = stats.started.Add(timeoutOf(r.Header, match.Timeout))
+	c.deadline = c.giveUpAt
+	if latest, stopping := in.opts.latestDeadline(); stopping && latest.Before(c.deadline) {
+		c.deadline = latest
+	}
 }
 
 const (
@@ -222,6 +230,9 @@
 // serve sheds new requests whose route has backpressure, refuses those that arrive
 // late in the shutdown and could be cut off at its end, and routes the others.
 func (in *ingress) serve(ctx context.Context, c *call, stats *requestStats) result {
+	if in.endsTooLate(c) {
+		return refused(frame.ReasonLeaving, "the node stops before a response is likely")
+	}
 	if c.parent != nil {
 		// The parent's self time excludes the time of its child requests.
 		done := c.parent.ticket.BeginWait(c.service)
@@ -243,6 +254,13 @@
 	return r
 }
 
+// endsTooLate reports whether the end of this node leaves a request less time than
+// requests of its route take. It would run in vain, and its caller would not know.
+func (in *ingress) endsTooLate(c *call) bool {
+	timeLeft := c.timeLeft(in.opts.clock.Now())
+	return c.deadline.Before(c.giveUpAt) && timeLeft <= in.durations.upper(c.route)
+}
+
 // budgetKeyOf returns the key of a request's retry budget. A route counts as
 // non-leaf until its responses report that it is a leaf.
 func (in *ingress) budgetKeyOf(c *call) budgetKey {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -83,6 +83,9 @@
 	// accepting work for its backend server, callersClosed when it stops accepting
 	// requests of callers.
 	leaving, backendClosed, callersClosed atomic.Bool
+	// latestDeadline is the latest deadline of the requests that this node takes, nil
+	// until shutdown starts.
+	latestDeadline atomic.Pointer[time.Time]
 	// grace is the shutdown grace period, a time.Duration.
 	grace atomic.Int64
 	// incarnations is used by applyServers, whose calls do not overlap.
@@ -173,9 +176,19 @@
 		splitter: n.splitter, localBackend: n.localBackend, client: &peerClient{clock: n.clock, http: n.peerHTTP, bodyMemory: n.bodyMemory}, metrics: n.metrics, sent: n.sent,
 		bodyMemory: n.bodyMemory,
 		service:    n.settings.Service(), random: rand.Float64, leaving: n.leaving.Load, closed: n.callersClosed.Load,
+		latestDeadline: n.loadLatestDeadline,
 	})
 }
 
+// loadLatestDeadline returns the latest deadline of the requests that this node
+// takes, and true once shutdown has started.
+func (n *Node) loadLatestDeadline() (time.Time, bool) {
+	if latest := n.latestDeadline.Load(); latest != nil {
+		return *latest, true
+	}
+	return time.Time{}, false
+}
+
 func (n *Node) buildControl() {
 	store := platform.NewStore(n.settings.StoreAddr(), n.storeHTTP, func(key string, err error) {
 		n.log.WithFields(logrus.Fields{"key": key, "error": err.Error()}).Warn("entry names no backend server")
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/semaphore"
@@ -26,6 +27,11 @@
 	service string
 }
 
+// responseMargin is how long a node waits for a backend server beyond the deadline
+// that it passed on, so that the server's own response at the deadline gets through.
+// The ingress node ends the request earlier if the caller's deadline is reached.
+const responseMargin = 100 * time.Millisecond
+
 func (s *peerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, instance, err := s.parse(r)
 	defer c.reservation.release()
@@ -33,7 +39,7 @@
 		s.writeResult(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.localBackend.feedback(c)})
 		return
 	}
-	ctx, cancel := clockwork.WithDeadline(r.Context(), s.clock, c.deadline)
+	ctx, cancel := clockwork.WithDeadline(r.Context(), s.clock, c.giveUpAt)
 	defer cancel()
 	s.writeResult(w, s.localBackend.run(ctx, c, instance))
 }
@@ -48,6 +54,7 @@
 	}
 	c.header.Set(platform.HeaderRequestID, c.id)
 	c.deadline = s.clock.Now().Add(timeLeft)
+	c.giveUpAt = c.deadline.Add(responseMargin)
 	return c, instance, c.readBody(r, 0, s.bodyMemory)
 }
 
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -151,14 +151,17 @@
 
 // shutDown stops the node gracefully. It refuses work for the backend server that
 // has no slot after backendDrainDelay, and new requests of callers after callerDrainDelay, then
-// waits within the grace period for the requests in progress. Those that still wait
-// for a slot near its end are withdrawn.
+// waits within the grace period for the requests in progress. Near its end, those
+// that still wait for a slot are withdrawn; the deadlines of the requests taken since
+// the stop began, calls of running requests included, end there.
 func (n *Node) shutDown(callListener, outboundListener *peer.Listener, listeners []*peer.Listener) {
 	started := n.clock.Now()
 	n.log.WithFields(logrus.Fields{"calls": callListener.BusyConns(), "requests": outboundListener.BusyConns()}).Info("stopping")
-	n.leaving.Store(true)
 	grace := time.Duration(n.grace.Load())
 	deadline := started.Add(grace - exitMargin)
+	withdrawAt := deadline.Add(-withdrawMargin)
+	n.latestDeadline.Store(&withdrawAt)
+	n.leaving.Store(true)
 	maxDelay := time.Duration(drainDelayFraction * float64(grace))
 	n.clock.Sleep(min(backendDrainDelay, maxDelay))
 	n.backendClosed.Store(true)
@@ -167,7 +170,7 @@
 	n.callersClosed.Store(true)
 	outboundListener.StopAccepting()
 	idle := func() bool { return outboundListener.BusyConns() == 0 && callListener.BusyConns() == 0 }
-	n.waitUntil(deadline.Add(-withdrawMargin), idle)
+	n.waitUntil(withdrawAt, idle)
 	n.withdrawUntil(deadline, idle)
 	for _, l := range listeners {
 		l.Close()
--- a/mesh/withdraw_test.go
+++ b/mesh/withdraw_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -45,3 +46,43 @@
 		require.Zero(t, busy.app.Runs(fmt.Sprint("waiting", i)), "the responses say that they did not run")
 	}
 }
+
+// Guards against a stopping node passing on calls of running requests that can't end
+// before it does, and cutting them, and against it refusing those that can.
+func TestStopLateCalls(t *testing.T) {
+	f := newFleet(t)
+	finish := make(chan struct{})
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10, Fault: func(string) standin.AppFault {
+		<-finish
+		return ""
+	}})
+	quick := f.add(standin.AppOptions{ID: "i-quick", Service: "quick", Slots: 10})
+	slow := f.add(standin.AppOptions{ID: "i-slow", Service: "slow", Slots: 10, SelfTime: 2 * time.Second})
+	f.applyConfig(1, routeTo("shop", "/shop/", "unsafe"), routeTo("quick", "/quick/", "safe"), routeTo("slow", "/slow/", "safe"))
+	// A stopping node closes a connection after each response.
+	conns := map[string]*callerConn{"/slow/": shop.connect(t), "/quick/": shop.connect(t)}
+	call := func(id, path string) int {
+		kept := conns[path]
+		kept.send(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 9000\r\n\r\n", path, host, id))
+		return kept.readStatus()
+	}
+	for path := range conns {
+		require.Equal(t, http.StatusOK, call("first"+path, path), "the node knows how long a request takes")
+	}
+	running := make(chan callerResponse, 1)
+	go func() { running <- shop.send(callerRequest{path: "/shop/", id: "running"}) }()
+	require.Eventually(t, func() bool { return len(shop.app.Arrivals()) == 1 }, waitLimit, time.Millisecond)
+	shop.stop()
+	require.Eventually(t, shop.node.callersClosed.Load, waitLimit, time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, call("running.1", "/slow/"))
+	require.Zero(t, slow.app.Runs("running.1"), "the response says that it did not run")
+	require.Equal(t, http.StatusOK, call("running.2", "/quick/"))
+	require.Equal(t, 1, quick.app.Runs("running.2"))
+	header, _, _ := quick.app.LastRequest("running.2")
+	left, err := strconv.Atoi(header.Get("X-Deadline-Ms"))
+	require.NoError(t, err)
+	require.Less(t, time.Duration(left)*time.Millisecond, time.Duration(shop.node.grace.Load()), "the server knows when the node ends")
+	close(finish)
+	require.Equal(t, http.StatusOK, (<-running).status)
+	require.NoError(t, <-shop.done)
+}
