mesh: Respond to the requests that the end of a planned stop interrupts

Callers saw: a closed connection for a request that still ran when its node ended; the node's log said that the caller had left ("cancelled: context canceled"), so a request cut by a stop and one given up by its caller looked the same.

Change: the requests of a node have its lifetime as a bound.

TestStopInterruptsWithResponse on: "EOF"; with the change 502 and the reason in the log.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -49,6 +49,8 @@
 	// service is the service of the local backend server.
 	service string
 	random  func() float64
+	// lifetime ends when requests in progress are interrupted.
+	lifetime context.Context
 	// leaving reports whether the process is shutting down, closed whether it accepts
 	// no new requests of callers anymore.
 	leaving, closed func() bool
@@ -96,7 +98,7 @@
 		in.reject(w, c, stats, status)
 		return
 	}
-	ctx, cancel := clockwork.WithDeadline(r.Context(), in.opts.clock, c.giveUpAt)
+	ctx, cancel := requestContext(r.Context(), in.opts.lifetime, in.opts.clock, c.giveUpAt)
 	defer cancel()
 	res := refused(frame.ReasonCancelled, "the caller has disconnected")
 	if !peer.Disconnected(r.Context()) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -86,6 +86,9 @@
 	// latestDeadline is the latest deadline of the requests that this node takes, nil
 	// until shutdown starts.
 	latestDeadline atomic.Pointer[time.Time]
+	// lifetime ends when a stop interrupts the requests in progress.
+	lifetime    context.Context
+	endLifetime context.CancelFunc
 	// grace is the shutdown grace period, a time.Duration.
 	grace atomic.Int64
 	// incarnations is used by applyServers, whose calls do not overlap.
@@ -107,6 +110,7 @@
 		metrics: operator.NewMetrics(), controlMetrics: metrics.NewSet(), bodyMemory: semaphore.NewWeighted(s.MemoryLimit() / bodyMemoryDivisor),
 		budgets: newRetryBudgets(s.RetryRatio(), s.RetrySlack(), clock), splitter: newSplitter(rand.Float64),
 	}
+	n.lifetime, n.endLifetime = context.WithCancel(context.Background())
 	n.grace.Store(int64(s.Grace()))
 	self := frame.NewIncarnation(s.VM(), newRand())
 	n.board = board.New(board.NewSelf(board.NewVM(board.VMFields{
@@ -169,14 +173,14 @@
 		clock: n.clock, log: n.log, gate: n.gate, http: n.backendHTTP, metrics: n.metrics, bodyMemory: n.bodyMemory,
 		addr: n.settings.BackendAddr(), leaving: n.backendClosed.Load,
 	})
-	n.peerServer = &peerServer{clock: n.clock, localBackend: n.localBackend, bodyMemory: n.bodyMemory, service: n.settings.Service()}
+	n.peerServer = &peerServer{clock: n.clock, localBackend: n.localBackend, bodyMemory: n.bodyMemory, service: n.settings.Service(), lifetime: n.lifetime}
 	n.sent = newSentRequests(n.log, n.controlClient.Withdraw)
 	n.ingress = newIngress(ingressOptions{
 		clock: n.clock, log: n.log, view: n.view, board: n.board, chooser: n.chooser, budgets: n.budgets,
 		splitter: n.splitter, localBackend: n.localBackend, client: &peerClient{clock: n.clock, http: n.peerHTTP, bodyMemory: n.bodyMemory}, metrics: n.metrics, sent: n.sent,
 		bodyMemory: n.bodyMemory,
 		service:    n.settings.Service(), random: rand.Float64, leaving: n.leaving.Load, closed: n.callersClosed.Load,
-		latestDeadline: n.loadLatestDeadline,
+		latestDeadline: n.loadLatestDeadline, lifetime: n.lifetime,
 	})
 }
 
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -25,6 +25,8 @@
 	bodyMemory *semaphore.Weighted
 	// service is the service of the local backend server.
 	service string
+	// lifetime ends when requests in progress are interrupted.
+	lifetime context.Context
 }
 
 // responseMargin is how long a node waits for a backend server beyond the deadline
@@ -39,7 +41,7 @@
 		s.writeResult(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.localBackend.feedback(c)})
 		return
 	}
-	ctx, cancel := clockwork.WithDeadline(r.Context(), s.clock, c.giveUpAt)
+	ctx, cancel := requestContext(r.Context(), s.lifetime, s.clock, c.giveUpAt)
 	defer cancel()
 	s.writeResult(w, s.localBackend.run(ctx, c, instance))
 }
--- a/mesh/result.go
+++ b/mesh/result.go
@@ -89,6 +89,8 @@
 // contextReason returns the reason for which ctx ended, fallback if it has not.
 func contextReason(ctx context.Context, fallback frame.Reason) frame.Reason {
 	switch {
+	case errors.Is(context.Cause(ctx), errStopped):
+		return frame.ReasonLeaving
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return frame.ReasonTimeout
 	case ctx.Err() != nil:
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -37,6 +37,8 @@
 	// its way to the node that holds it.
 	withdrawMargin   = 300 * time.Millisecond
 	withdrawInterval = 100 * time.Millisecond
+	// interruptWait bounds the wait for the responses to interrupted requests.
+	interruptWait = 200 * time.Millisecond
 	// shutdownWait bounds the wait for background goroutines at shutdown.
 	shutdownWait = 200 * time.Millisecond
 	// drainPoll is the interval between checks for requests in progress.
@@ -48,6 +50,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
+	defer n.endLifetime()
 	var wg sync.WaitGroup
 	failures := make(chan error, 8)
 	callListener := peer.NewListener("call", net.JoinHostPort(n.settings.IP(), strconv.Itoa(n.settings.CallPort())), n.peerServer)
@@ -153,7 +156,8 @@
 // has no slot after backendDrainDelay, and new requests of callers after callerDrainDelay, then
 // waits within the grace period for the requests in progress. Near its end, those
 // that still wait for a slot are withdrawn; the deadlines of the requests taken since
-// the stop began, calls of running requests included, end there.
+// the stop began, calls of running requests included, end there. Requests that still run
+// at the end are interrupted, with a response that says that the outcome is unknown.
 func (n *Node) shutDown(callListener, outboundListener *peer.Listener, listeners []*peer.Listener) {
 	started := n.clock.Now()
 	n.log.WithFields(logrus.Fields{"calls": callListener.BusyConns(), "requests": outboundListener.BusyConns()}).Info("stopping")
@@ -172,6 +176,8 @@
 	idle := func() bool { return outboundListener.BusyConns() == 0 && callListener.BusyConns() == 0 }
 	n.waitUntil(withdrawAt, idle)
 	n.withdrawUntil(deadline, idle)
+	n.endLifetime()
+	n.waitUntil(n.clock.Now().Add(interruptWait), idle)
 	for _, l := range listeners {
 		l.Close()
 	}
--- a/mesh/withdraw_test.go
+++ b/mesh/withdraw_test.go
@@ -86,3 +86,22 @@
 	require.Equal(t, http.StatusOK, (<-running).status)
 	require.NoError(t, <-shop.done)
 }
+
+// Guards against a planned stop closing the connection of a request that still runs
+// at its end, and against logging that its caller has left.
+func TestStopInterruptsWithResponse(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	slow := f.add(standin.AppOptions{ID: "i-slow", Service: "slow", Slots: 10, SelfTime: waitLimit})
+	f.applyConfig(1, routeTo("slow", "/slow/", "safe"))
+	shop.node.grace.Store(int64(2 * time.Second))
+	reply := make(chan callerResponse, 1)
+	go func() { reply <- shop.send(callerRequest{path: "/slow/", id: "running"}) }()
+	require.Eventually(t, func() bool { return slow.app.Runs("running") > 0 }, waitLimit, time.Millisecond)
+	shop.stop()
+	r := <-reply
+	require.NoError(t, r.err)
+	require.Equal(t, http.StatusBadGateway, r.status, "the outcome is unknown")
+	require.NoError(t, <-shop.done)
+	require.Contains(t, shop.log.String(), `"reason":"leaving"`)
+}
