mesh: Accept connections while the server beside a stopping node runs requests

Cause: the socket was closed with the acceptance of callers' requests. A server may open a connection for each call, and a stopping node closes each connection after a response, so that a second call always needs a new one.

Change: the socket stays open while the backend server runs requests, until the waiting requests are withdrawn. Requests of callers are refused there, as not run, as on open connections. Without running requests it is closed after 2.3 s as before (TestStopLateRequest, unchanged).

TestStopCallOnNewConnection before: "connection refused"; with the change ten calls on new connections get 200, a caller gets 503, the request itself 200.

--- a/mesh/localbackend.go
+++ b/mesh/localbackend.go
@@ -262,6 +262,13 @@
 	return readResponse(resp, b.opts.bodyMemory)
 }
 
+// isRunning reports whether the backend server runs a request, which may make calls.
+func (b *localBackend) isRunning() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.running) > 0
+}
+
 func (b *localBackend) addRunning(c *call) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -172,6 +172,8 @@
 	n.gate.Close(frame.ReasonLeaving)
 	n.clock.Sleep(min(callerDrainDelay, maxDelay) - n.clock.Since(started))
 	n.callersClosed.Store(true)
+	// The calls of running requests may come on new connections.
+	n.waitUntil(withdrawAt, func() bool { return !n.localBackend.isRunning() })
 	outboundListener.StopAccepting()
 	idle := func() bool { return outboundListener.BusyConns() == 0 && callListener.BusyConns() == 0 }
 	n.waitUntil(withdrawAt, idle)
--- a/mesh/withdraw_test.go
+++ b/mesh/withdraw_test.go
@@ -105,3 +105,31 @@
 	require.NoError(t, <-shop.done)
 	require.Contains(t, shop.log.String(), `"reason":"leaving"`)
 }
+
+// Guards against a stopping node refusing the connections on which running requests
+// make their calls, so that the requests fail.
+func TestStopCallOnNewConnection(t *testing.T) {
+	f := newFleet(t)
+	finish := make(chan struct{})
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10, Fault: func(string) standin.AppFault {
+		<-finish
+		return ""
+	}})
+	f.add(standin.AppOptions{ID: "i-quick", Service: "quick", Slots: 10})
+	f.applyConfig(1, routeTo("shop", "/shop/", "unsafe"), routeTo("quick", "/quick/", "safe"))
+	shop.node.grace.Store(int64(8 * time.Second))
+	running := make(chan callerResponse, 1)
+	go func() { running <- shop.send(callerRequest{path: "/shop/", id: "running"}) }()
+	require.Eventually(t, func() bool { return len(shop.app.Arrivals()) == 1 }, waitLimit, time.Millisecond)
+	shop.stop()
+	require.Eventually(t, shop.node.callersClosed.Load, waitLimit, time.Millisecond)
+	for i := range 10 {
+		c := shop.connect(t)
+		c.send(fmt.Sprintf("GET /quick/ HTTP/1.1\r\nHost: %s\r\nX-Request-Id: running.%d\r\nX-Deadline-Ms: 9000\r\n\r\n", host, i))
+		require.Equal(t, http.StatusOK, c.readStatus())
+	}
+	require.Equal(t, http.StatusServiceUnavailable, shop.send(callerRequest{path: "/quick/", id: "late"}).status, "callers are refused")
+	close(finish)
+	require.Equal(t, http.StatusOK, (<-running).status)
+	require.NoError(t, <-shop.done)
+}
