--- a/mesh/node.go
+++ b/mesh/node.go
@@ -194,9 +194,7 @@
 }
 
 func (n *Node) buildControl() {
-	store := platform.NewStore(n.settings.StoreAddr(), n.storeHTTP, func(key string, err error) {
-		n.log.WithFields(logrus.Fields{"key": key, "error": err.Error()}).Warn("entry names no backend server")
-	})
+	store := platform.NewStore(n.settings.StoreAddr(), n.storeHTTP, n.logInvalidEntry)
 	n.follower = catalog.NewFollower(catalog.FollowerOptions{
 		Clock: n.clock, View: n.view, Read: store.Read, Watch: store.Watch, ConnectionChanged: n.logStoreState, Random: rand.Float64,
 		Mode: func() catalog.ReadMode { return n.feeder.readMode() }, MaxRetryDelay: func() time.Duration { return n.feeder.maxRetryDelay() },
@@ -220,6 +218,17 @@
 	})
 }
 
+// maxLoggedError bounds the text of an error about an entry, in bytes: it can quote
+// a number of the entry in full.
+const maxLoggedError = 200
+
+// logInvalidEntry logs an entry of the store that another client wrote.
+func (n *Node) logInvalidEntry(key string, err error) {
+	text := err.Error()
+	text = text[:min(len(text), maxLoggedError)]
+	n.log.WithFields(logrus.Fields{"key": key, "error": text}).Warn("entry names no backend server")
+}
+
 // isStoreUnavailable reports whether a failed call shows that the store is
 // unavailable. A connection that was in use before may have gone silent alone.
 func isStoreUnavailable(err error) bool {
