peer, backend, source: Cut a response header at 64 KB

In the product's own interface bodies are bounded, but heads by net/http's default only: 10 MB for each call, so that a dozen calls to one faulty server fill the 128 MB of a node.

Change: 64 KB for the calls to the backend server, its probes, the calls between nodes and those to the configuration service.

--- a/backend/client.go
+++ b/backend/client.go
@@ -52,6 +52,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: peer.MaxResponseHead,
 	}}}
 	c.send = kithttp.NewExplicitClient(c.encode, c.decode, kithttp.SetClient(c.http)).Endpoint()
 	return c
--- /dev/null
+++ b/backend/client_test.go
@@ -0,0 +1,31 @@
+package backend
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"dogwoodhead/standin"
+)
+
+// Guards against a backend server whose header does not end filling the memory of
+// its node, with calls or with probes.
+func TestEndlessHeader(t *testing.T) {
+	app := standin.NewApp(standin.AppOptions{ID: "i-1", Slots: 10, Fault: func(string) standin.AppFault { return standin.AppEndless }})
+	srv := httptest.NewServer(app)
+	defer srv.Close()
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	c := NewClient(ClientOptions{Addr: addr})
+	defer c.Close()
+	req, err := http.NewRequest(http.MethodPost, srv.URL, http.NoBody)
+	require.NoError(t, err)
+	_, err = c.http.Do(req)
+	require.ErrorContains(t, err, "exceeded 65536 bytes")
+	m := NewMonitor(MonitorOptions{Addr: addr, Clock: clockwork.NewFakeClock()})
+	require.ErrorContains(t, m.getJSON(context.Background(), "/health", &healthReport{}), "exceeded 65536 bytes")
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -85,6 +85,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxResponseHead,
 	}}}
 	c.send = kithttp.NewExplicitClient(c.newRequest, c.decodeResponse, kithttp.SetClient(c.http)).Endpoint()
 	return c
--- a/source/client.go
+++ b/source/client.go
@@ -30,6 +30,8 @@
 	// maxConns bounds the connections of one node, which watches three keys and
 	// sometimes polls.
 	maxConns = 8
+	// maxResponseHead bounds the status line and header of a response, in bytes.
+	maxResponseHead = 64 << 10
 	// maxRetryAfter bounds the retry delay that a throttled response sets.
 	maxRetryAfter = time.Minute
 )
@@ -81,6 +83,8 @@
 		MaxConnsPerHost:     maxConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
 	return &Client{base: "http://" + opts.Addr, http: &http.Client{Transport: transport}, transport: transport}
 }
--- a/source/client_test.go
+++ b/source/client_test.go
@@ -100,3 +100,23 @@
 	require.ErrorAs(t, err, &unavailable)
 	w.Start("base", 3, time.Hour, func(Value, error) { t.Error("started after Close") })
 }
+
+// Guards against a header without end filling the memory.
+func TestEndlessHeader(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, err = buf.WriteString("HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			_, err = buf.WriteString("Any: value\r\n")
+		}
+	}))
+	defer srv.Close()
+	c := NewClient(Options{Addr: strings.TrimPrefix(srv.URL, "http://")})
+	defer c.Close()
+	_, err := c.Read(context.Background(), "key")
+	require.ErrorContains(t, err, "exceeded 65536 bytes")
+}
