h1: Let the upload of a request go on after its response

Callers saw: a 200 for an upload of which the server got only a part.

Cause: the end of the response ended the exchange and closed the connection if the body was still being sent.

Change: an exchange has two parts, the response and the upload; its connection is closed or reused once both have ended, and closed at once if one fails or the context ends. Response.Uploaded tells the user of a client how long the context must live.

--- a/h1/body.go
+++ b/h1/body.go
@@ -5,7 +5,8 @@
 	"io"
 )
 
-// body is the body of a response. At its end the connection is reused or closed.
+// body is the body of a response. Its end ends the exchange, unless the body of the
+// request is still being sent.
 type body struct {
 	exchange *exchange
 	framed   io.ReadCloser
@@ -37,12 +38,5 @@
 
 func (b *body) end(complete bool) {
 	b.ended = true
-	x := b.exchange
-	// If ctx has ended, the connection is already closed.
-	ctxActive := x.stopAfterFunc()
-	if !complete || !ctxActive || !x.reusable || !x.uploadDone() || x.conn.br.Buffered() > 0 {
-		_ = x.conn.Close()
-		return
-	}
-	x.client.pool.put(x.conn, x.idleTimeout)
+	b.exchange.endPart(complete)
 }
--- a/h1/client.go
+++ b/h1/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -88,6 +89,10 @@
 	Length int64
 	// Body returns io.EOF only if the response is complete.
 	Body io.ReadCloser
+	// Uploaded is closed once Request.Stream was sent, or can't be. A server may
+	// respond before that and read on: the rest is sent until the context of Do is
+	// done, unless the response's body is closed before its end.
+	Uploaded <-chan struct{}
 }
 
 // Client sends requests over persistent connections. Safe for concurrent use.
@@ -127,7 +132,7 @@
 		return nil, &Error{addr: addr, op: "connect to", err: err}
 	}
 	conn.received = 0
-	x := &exchange{client: c, conn: conn, reusable: true}
+	x := &exchange{client: c, conn: conn, reusable: true, partsLeft: 1, uploaded: make(chan struct{})}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := x.send(r); err != nil {
 		return nil, x.fail(ctx, err)
@@ -168,12 +173,17 @@
 	stopAfterFunc func() bool
 	// sent is set once bytes of the request may have reached the server.
 	sent bool
-	// reusable is whether the connection may carry another request.
-	reusable bool
 	// idleTimeout is how long the connection may stay idle in the pool.
 	idleTimeout time.Duration
-	// uploaded is closed when Request.Stream is fully sent; nil without one.
+	// uploaded is closed when the upload of Request.Stream has ended.
 	uploaded chan struct{}
+
+	mu sync.Mutex
+	// reusable is whether the connection may carry another request.
+	reusable bool
+	// partsLeft counts the parts of the exchange that have not ended: the response
+	// and, with Request.Stream, the upload.
+	partsLeft int
 }
 
 // fail closes the connection and returns an *Error with the cause of ctx or err.
@@ -196,34 +206,70 @@
 	}
 	n, err := x.conn.Write(b.Bytes())
 	x.sent = n > 0
-	if err != nil || r.Stream == nil {
+	if err != nil {
 		return err
 	}
-	x.uploaded = make(chan struct{})
+	if r.Stream == nil {
+		close(x.uploaded)
+		return nil
+	}
+	x.partsLeft++
 	go x.upload(r)
 	return nil
 }
 
-// upload sends the stream. A failure is observed as an early or missing response.
+// upload sends the stream. A failure closes the connection, so that the server can
+// tell that the body is not complete.
 func (x *exchange) upload(r *Request) {
-	var w io.Writer = x.conn
-	if r.StreamLength < 0 {
-		cw := newChunkedWriter(x.conn)
-		w = cw
-		defer func() {
-			if cw.finish() == nil {
-				close(x.uploaded)
-			}
-		}()
+	defer close(x.uploaded)
+	x.endPart(x.sendStream(r) == nil)
+}
+
+// sendStream sends the stream in the framing that the header announces.
+func (x *exchange) sendStream(r *Request) error {
+	if r.StreamLength >= 0 {
+		n, err := io.Copy(x.conn, r.Stream)
+		if err == nil && n != r.StreamLength {
+			return io.ErrUnexpectedEOF
+		}
+		return err
 	}
-	n, err := io.Copy(w, r.Stream)
-	if r.StreamLength >= 0 && err == nil && n == r.StreamLength {
-		close(x.uploaded)
+	w := newChunkedWriter(x.conn)
+	if _, err := io.Copy(w, r.Stream); err != nil {
+		return err
+	}
+	return w.finish()
+}
+
+// endPart records that the response or the upload has ended. The connection is closed
+// if that part failed, and is reused or closed after the last part.
+func (x *exchange) endPart(ok bool) {
+	x.mu.Lock()
+	x.partsLeft--
+	last := x.partsLeft == 0
+	x.reusable = x.reusable && ok
+	reusable := x.reusable
+	x.mu.Unlock()
+	if !ok {
+		_ = x.conn.Close()
+	}
+	if !last {
 		return
 	}
-	if err != nil {
+	// If ctx has ended, the connection is already closed.
+	ctxActive := x.stopAfterFunc()
+	if !ctxActive || !reusable || x.conn.br.Buffered() > 0 {
 		_ = x.conn.Close()
+		return
 	}
+	x.client.pool.put(x.conn, x.idleTimeout)
+}
+
+// preventReuse closes the connection after the exchange.
+func (x *exchange) preventReuse() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.reusable = false
 }
 
 func writeHeader(b *bytes.Buffer, r *Request) {
@@ -308,11 +354,11 @@
 		x.conn.failedIDs = append(x.conn.failedIDs, id)
 	}
 	if resp.Close || x.idleTimeout <= 0 || len(x.conn.failedIDs) > maxFailedIDs {
-		x.reusable = false
+		x.preventReuse()
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Body: &body{exchange: x, framed: resp.Body},
+		Body: &body{exchange: x, framed: resp.Body}, Uploaded: x.uploaded,
 	}
 }
 
@@ -329,16 +375,3 @@
 	}
 	return defaultIdleTimeout
 }
-
-// uploadDone reports whether the request's body was fully sent.
-func (x *exchange) uploadDone() bool {
-	if x.uploaded == nil {
-		return true
-	}
-	select {
-	case <-x.uploaded:
-		return true
-	default:
-		return false
-	}
-}
