mesh: Let only the upload read the body of a streamed request

Cause, one for both: net/http discards up to 256 KB of an unread request body before it writes the header of a response, and waits for a read in progress to do so. A body that is streamed was read by the upload at the same time.

Evidence: the gaps begin where the answer came; a test that waits for the answer before it sends more gets none. Ruled out: a wrong framing by the client (the bodies end as whole ones).

Change: the response is full-duplex, so that the upload is the only reader, and it is stopped before the handler returns.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -96,7 +96,7 @@
 // prepareNextAttempt reports whether another node may be asked. It takes a permit
 // where one is needed and marks the request as a retry.
 func (in *ingress) prepareNextAttempt(ctx context.Context, c *call, stats *requestStats, r result) bool {
-	if ctx.Err() != nil || c.stream != nil || in.opts.sent.isClosed() {
+	if ctx.Err() != nil || c.upload != nil || in.opts.sent.isClosed() {
 		return false
 	}
 	if r.outcome == frame.NotRun {
--- a/mesh/body.go
+++ b/mesh/body.go
@@ -33,9 +33,9 @@
 	errBodyLength = errors.New("body is longer than its length")
 )
 
-// readBody buffers a body that is small enough, or sets c.stream. limit is in
+// readBody buffers a body that is small enough, or sets c.upload. limit is in
 // bytes; 0 means none. The error is errBodyTooLarge for a larger body.
-func (c *call) readBody(r *http.Request, limit int64, memory *semaphore.Weighted) error {
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64, memory *semaphore.Weighted) error {
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -50,9 +50,9 @@
 	if err != nil {
 		return err
 	}
-	c.body, c.stream = body, rest
+	c.body = body
 	if rest != nil {
-		c.streamLength = r.ContentLength
+		c.upload, c.uploadLength = newUpload(w, rest, r.Body), r.ContentLength
 	}
 	return nil
 }
@@ -143,7 +143,7 @@
 
 // readResponse returns the result for a response, with a small body buffered.
 func readResponse(resp *h1.Response, memory *semaphore.Weighted) result {
-	out := &response{status: resp.Status, header: resp.Header, length: resp.Length}
+	out := &response{status: resp.Status, header: resp.Header, length: resp.Length, uploaded: resp.Uploaded}
 	body, rest, err := out.reservation.read(resp.Body, resp.Length, maxBufferedBody, memory)
 	if rest != nil {
 		out.stream = &prefixedBody{Reader: rest, Closer: resp.Body}
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,11 +23,11 @@
 	// the headers that are forwarded.
 	method, target, host string
 	header               http.Header
-	// body is the buffered body; stream replaces it if the body is not buffered.
-	// streamLength is the length of stream in bytes, negative if unknown.
+	// body is the buffered body; upload replaces it if the body is not buffered.
+	// uploadLength is the length of upload in bytes, negative if unknown.
 	body         []byte
-	stream       io.Reader
-	streamLength int64
+	upload       *upload
+	uploadLength int64
 	// reservation is the memory reserved for the buffered body.
 	reservation bodyReservation
 	// service is the service that runs the request.
@@ -77,10 +76,17 @@
 
 // httpRequest returns the HTTP request to send, with the given headers.
 func (c *call) httpRequest(h http.Header) *h1.Request {
-	return &h1.Request{
-		Method: c.method, Target: c.target, Host: c.host, Header: h,
-		Body: c.body, Stream: c.stream, StreamLength: c.streamLength,
+	r := &h1.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body}
+	if c.upload != nil {
+		r.Stream, r.StreamLength = c.upload, c.uploadLength
 	}
+	return r
+}
+
+// close frees what the request holds. It must be called before its handler returns.
+func (c *call) close() {
+	c.reservation.release()
+	c.upload.stop()
 }
 
 // timeLeft returns the time left until the deadline.
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -88,7 +88,7 @@
 func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	stats := &requestStats{started: in.opts.clock.Now()}
 	c, status := in.parse(w, r, stats)
-	defer c.reservation.release()
+	defer c.close()
 	if status != 0 {
 		if status == http.StatusRequestEntityTooLarge {
 			// Closing a connection with unread bytes resets it, and the caller can lose
@@ -110,7 +110,9 @@
 		res.discard()
 		panic(http.ErrAbortHandler)
 	}
-	in.writeResult(w, c, res)
+	if in.writeResult(w, c, res) {
+		c.upload.passRest(ctx, res.response)
+	}
 }
 
 // callerTimeouts returns the configured timeouts of callers' connections.
@@ -162,7 +164,7 @@
 	conn := http.NewResponseController(w)
 	// Setting a deadline fails only on a closed connection, which the read reports.
 	_ = conn.SetReadDeadline(c.deadline)
-	err := c.readBody(r, limit, in.opts.bodyMemory)
+	err := c.readBody(w, r, limit, in.opts.bodyMemory)
 	switch {
 	case err == nil:
 		_ = conn.SetReadDeadline(time.Time{})
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -35,18 +35,22 @@
 const responseMargin = 100 * time.Millisecond
 
 func (s *peerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, instance, err := s.parse(r)
-	defer c.reservation.release()
+	c, instance, err := s.parse(w, r)
+	defer c.close()
 	if err != nil {
-		s.writeResult(w, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.localBackend.feedback(c)})
+		s.writeResult(w, c, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.localBackend.feedback(c)})
 		return
 	}
 	ctx, cancel := requestContext(r.Context(), s.lifetime, s.clock, c.giveUpAt)
 	defer cancel()
-	s.writeResult(w, s.localBackend.run(ctx, c, instance))
+	res := s.localBackend.run(ctx, c, instance)
+	s.writeResult(w, c, res)
+	if res.outcome == frame.Answered {
+		c.upload.passRest(ctx, res.response)
+	}
 }
 
-func (s *peerServer) parse(r *http.Request) (*call, string, error) {
+func (s *peerServer) parse(w http.ResponseWriter, r *http.Request) (*call, string, error) {
 	c := &call{
 		method: r.Method, target: r.RequestURI, host: r.Host, header: forwardedHeaders(r.Header), service: s.service,
 	}
@@ -57,26 +61,25 @@
 	c.header.Set(platform.HeaderRequestID, c.id)
 	c.deadline = s.clock.Now().Add(timeLeft)
 	c.giveUpAt = c.deadline.Add(responseMargin)
-	return c, instance, c.readBody(r, 0, s.bodyMemory)
+	return c, instance, c.readBody(w, r, 0, s.bodyMemory)
 }
 
 // writeResult sends a result to the requesting node.
-func (s *peerServer) writeResult(w http.ResponseWriter, r result) {
+func (s *peerServer) writeResult(w http.ResponseWriter, c *call, r result) {
 	h := w.Header()
 	h.Set(headerHop, r.encodeReply())
 	if r.feedback.Leaving {
 		h.Set("Connection", "close")
 	}
 	if r.outcome == frame.Answered {
-		writeResponse(w, r.response, omittedBetweenNodes...)
+		writeResponse(w, c, r.response, omittedBetweenNodes...)
 		return
 	}
-	h["Date"] = nil
 	status := http.StatusServiceUnavailable
 	if r.outcome == frame.Unknown {
 		status = http.StatusBadGateway
 	}
-	w.WriteHeader(status)
+	c.writeStatus(w, status)
 }
 
 // omittedBetweenNodes are headers of a backend server's response that are not
@@ -87,7 +90,7 @@
 
 // writeResponse writes a response without the omitted headers and closes it. If
 // streaming the body fails, it aborts the connection with http.ErrAbortHandler.
-func writeResponse(w http.ResponseWriter, resp *response, omitted ...string) {
+func writeResponse(w http.ResponseWriter, c *call, resp *response, omitted ...string) {
 	header := forwardedHeaders(resp.header)
 	for _, name := range omitted {
 		header.Del(name)
@@ -100,8 +103,12 @@
 			h[name] = nil
 		}
 	}
-	if resp.length >= 0 {
+	switch {
+	case resp.length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(resp.length, 10))
+	case c.upload.isPending():
+		// The end of the response is written after that of the upload.
+		h.Set("Connection", "close")
 	}
 	w.WriteHeader(resp.status)
 	defer resp.close()
--- a/mesh/respond.go
+++ b/mesh/respond.go
@@ -13,14 +13,15 @@
 	"dogwoodhead/platform"
 )
 
-// writeResult writes the response to the caller.
-func (in *ingress) writeResult(w http.ResponseWriter, c *call, r result) {
+// writeResult writes the response to the caller and reports whether it is that of a
+// backend server.
+func (in *ingress) writeResult(w http.ResponseWriter, c *call, r result) bool {
 	if in.opts.leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.outcome == frame.Answered && !(claimsNotRun(r.response) && !c.idempotent) {
-		writeResponse(w, r.response, platform.HeaderServerLoad, platform.HeaderInstanceID)
-		return
+		writeResponse(w, c, r.response, platform.HeaderServerLoad, platform.HeaderInstanceID)
+		return true
 	}
 	r.discard()
 	status := http.StatusBadGateway
@@ -32,6 +33,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	in.writeStatus(w, c, status)
+	return false
 }
 
 // claimsNotRun reports whether the status of a response implies that the request
@@ -85,10 +87,21 @@
 }
 
 func (in *ingress) writeStatus(w http.ResponseWriter, c *call, status int) {
+	if c.id != "" {
+		w.Header().Set(platform.HeaderRequestID, c.id)
+	}
+	c.writeStatus(w, status)
+}
+
+// writeStatus writes a response of this node, which has no body. What has not arrived
+// of the request's body is not read anymore, so the connection is closed after it.
+func (c *call) writeStatus(w http.ResponseWriter, status int) {
 	h := w.Header()
 	h["Date"] = nil
-	if c.id != "" {
-		h.Set(platform.HeaderRequestID, c.id)
+	h.Set("Content-Length", "0")
+	if c.upload.isPending() {
+		h.Set("Connection", "close")
 	}
 	w.WriteHeader(status)
+	c.upload.discardRest()
 }
--- a/mesh/result.go
+++ b/mesh/result.go
@@ -19,6 +19,8 @@
 	// length is the length of the body in bytes, negative if unknown.
 	stream io.ReadCloser
 	length int64
+	// uploaded is closed once the body of the request was sent, or can't be.
+	uploaded <-chan struct{}
 	// reservation is the memory reserved for the buffered body.
 	reservation bodyReservation
 }
--- a/mesh/upload_test.go
+++ b/mesh/upload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -85,3 +86,70 @@
 	require.Equal(t, 1, art.app.Runs("slow"))
 	require.NoError(t, <-shop.done)
 }
+
+// numberedBytes returns n bytes in which any gap shows.
+func numberedBytes(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%d,", i)
+	}
+	return b.String()[:n]
+}
+
+// Guards against a response that is held until the caller sends more of its body, and
+// against a body with a gap, if a server responds before it has read the whole body:
+// net/http discarded what it found unread when the response was written.
+func TestUploadEarlyResponse(t *testing.T) {
+	for name, body := range map[string]string{
+		"buffered": "short", "streamed": numberedBytes(2 * maxBufferedBody),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+			art := f.add(standin.AppOptions{ID: "i-art", Service: "art", Slots: 1, EarlyBody: body, Fault: func(id string) standin.AppFault {
+				if id == "early" {
+					return standin.AppEarly
+				}
+				return ""
+			}})
+			f.applyConfig(1, routeTo("art", "/art/", "upload"))
+			c := shop.connect(t)
+			sent := numberedBytes(10 * standin.AppEarlyBytes)
+			const first = 2 * standin.AppEarlyBytes
+			c.send("POST /art/x HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: early\r\nX-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n")
+			c.send(fmt.Sprintf("%x\r\n%s\r\n", first, sent[:first]))
+			resp, err := http.ReadResponse(c.reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			got, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, body, string(got))
+			c.send(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(sent)-first, sent[first:]))
+			uploaded := func() bool {
+				_, _, received := art.app.LastRequest("early")
+				return received != ""
+			}
+			require.Eventually(t, uploaded, waitLimit, time.Millisecond)
+			_, _, received := art.app.LastRequest("early")
+			require.True(t, received == sent, "the server got another body")
+			c.send("GET /art/x HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: next\r\n\r\n")
+			require.Equal(t, http.StatusOK, c.readStatus(), "the connection is in step")
+		})
+	}
+}
+
+// Guards against the response to a request that was given up being held until its
+// caller, whose upload stalls, sends more.
+func TestUploadStalled(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	f.add(standin.AppOptions{ID: "i-art", Service: "art", Slots: 1})
+	route := routeTo("art", "/art/", "upload")
+	route.Timeout = 500 * time.Millisecond
+	f.applyConfig(1, route)
+	c := shop.connect(t)
+	c.send("POST /art/x HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: stalled\r\nX-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n")
+	c.send(fmt.Sprintf("%x\r\n%s\r\n", 2*maxBufferedBody, numberedBytes(2*maxBufferedBody)))
+	require.Equal(t, http.StatusGatewayTimeout, c.readStatus())
+	c.requireClosed()
+}
--- a/standin/app.go
+++ b/standin/app.go
@@ -35,6 +35,9 @@
 	// AppRefuseTwice refuses the request. When it arrives again on the same
 	// connection, the app sends the refusal once more and runs the request.
 	AppRefuseTwice AppFault = "refusetwice"
+	// AppEarly runs the request and responds after the first bytes of its body, then
+	// reads the rest.
+	AppEarly AppFault = "early"
 )
 
 // AppOptions configures an App.
@@ -54,6 +57,8 @@
 	OutboundAddr string
 	// Fault returns the fault of the request with an id; nil for no faults.
 	Fault func(id string) AppFault
+	// EarlyBody is the body of the responses of AppEarly.
+	EarlyBody string
 	// SetHeaders adds headers to each response of the app; nil adds none.
 	SetHeaders func(http.Header)
 }
@@ -213,6 +218,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if fault == AppEarly {
+		a.respondEarly(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -297,6 +306,35 @@
 	}
 }
 
+// AppEarlyBytes is how many bytes of a body AppEarly reads before it responds.
+const AppEarlyBytes = 64 << 10
+
+// respondEarly responds to a request and then reads the rest of its body. The body
+// is recorded once it has ended.
+func (a *App) respondEarly(w http.ResponseWriter, r *http.Request, id string) {
+	conn := http.NewResponseController(w)
+	if err := conn.EnableFullDuplex(); err != nil {
+		return
+	}
+	first, err := io.ReadAll(io.LimitReader(r.Body, AppEarlyBytes))
+	if err != nil || !a.acquireSlot(id, r, "") {
+		return
+	}
+	defer a.releaseSlot()
+	body := a.opts.EarlyBody
+	w.Header().Set("X-Server-Stamp", a.opts.ID)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+	_ = conn.Flush()
+	rest, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bodies[id] = string(first) + string(rest)
+}
+
 // AppBody returns the response body of an app to a request.
 func AppBody(app, id string) string { return "answer of " + app + " to " + id }
 
