h1, mesh: Take a response to HEAD for a complete one

Callers saw: 502 for each HEAD request whose response has a Content-Length (read in the source by the review, beside its cases; now run).

Cause: the length of such a response is that of a body which is not sent. It was read as one that breaks off.

Change: the client says that a response has no body, and its length is passed on.

TestHead on: 502, want 200; with the change 200 with the length and no body, from the local server and from one behind another node.

--- a/h1/client.go
+++ b/h1/client.go
@@ -87,6 +87,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, negative if unknown.
 	Length int64
+	// Bodiless reports that no body follows, whatever Length says: that of a response
+	// to HEAD, or with status 304, is the length of a body which is not sent.
+	Bodiless bool
 	// Body returns io.EOF only if the response is complete.
 	Body io.ReadCloser
 	// Uploaded is closed once Request.Stream was sent, or can't be. A server may
@@ -357,7 +360,7 @@
 		x.preventReuse()
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Bodiless: resp.Body == http.NoBody,
 		Body: &body{exchange: x, framed: resp.Body}, Uploaded: x.uploaded,
 	}
 }
--- a/mesh/body.go
+++ b/mesh/body.go
@@ -144,6 +144,11 @@
 // readResponse returns the result for a response, with a small body buffered.
 func readResponse(resp *h1.Response, memory *semaphore.Weighted) result {
 	out := &response{status: resp.Status, header: resp.Header, length: resp.Length, uploaded: resp.Uploaded}
+	if resp.Bodiless {
+		// Reading to the end lets the connection be reused.
+		_ = drainBody(resp.Body)
+		return result{outcome: frame.Answered, response: out}
+	}
 	body, rest, err := out.reservation.read(resp.Body, resp.Length, maxBufferedBody, memory)
 	if rest != nil {
 		out.stream = &prefixedBody{Reader: rest, Closer: resp.Body}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,22 @@
 	require.Equal(t, standin.AppBody("i-shop", "two"), local.body)
 }
 
+// Guards against a response to HEAD counting as one that breaks off: its length is
+// that of a body which is not sent.
+func TestHead(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	f.add(standin.AppOptions{ID: "i-book", Service: "book", Slots: 10})
+	f.applyConfig(1, routeTo("book", "/book/", "safe"), routeTo("shop", "/shop/", "safe"))
+	for path, app := range map[string]string{"/book/x": "i-book", "/shop/x": "i-shop"} {
+		r := shop.send(callerRequest{method: http.MethodHead, path: path, id: path})
+		require.NoError(t, r.err)
+		require.Equal(t, http.StatusOK, r.status, path)
+		require.Equal(t, strconv.Itoa(len(standin.AppBody(app, path))), r.header.Get("Content-Length"))
+		require.Empty(t, r.body)
+	}
+}
+
 // Guards against long bodies being truncated or changed, and against a body
 // beyond the limit reaching a backend server.
 func TestLongBodies(t *testing.T) {
