--- a/mesh/upload_test.go
+++ b/mesh/upload_test.go
@@ -100,13 +100,11 @@
 // against a body with a gap, if a server responds before it has read the whole body:
 // net/http discarded what it found unread when the response was written.
 func TestUploadEarlyResponse(t *testing.T) {
-	for name, body := range map[string]string{
-		"buffered": "short", "streamed": numberedBytes(2 * maxBufferedBody),
-	} {
+	for name, length := range map[string]int{"buffered": 0, "streamed": 2 * maxBufferedBody} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
 			shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
-			art := f.add(standin.AppOptions{ID: "i-art", Service: "art", Slots: 1, EarlyBody: body, Fault: func(id string) standin.AppFault {
+			art := f.add(standin.AppOptions{ID: "i-art", Service: "art", Slots: 1, EarlyLength: length, Fault: func(id string) standin.AppFault {
 				if id == "early" {
 					return standin.AppEarly
 				}
@@ -123,7 +121,7 @@
 			require.Equal(t, http.StatusOK, resp.StatusCode)
 			got, err := io.ReadAll(resp.Body)
 			require.NoError(t, err)
-			require.Equal(t, body, string(got))
+			require.Equal(t, standin.AppEarlyBody("i-art", "early", length), string(got))
 			c.send(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(sent)-first, sent[first:]))
 			uploaded := func() bool {
 				_, _, received := art.app.LastRequest("early")
--- a/standin/app.go
+++ b/standin/app.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -57,8 +58,8 @@
 	OutboundAddr string
 	// Fault returns the fault of the request with an id; nil for no faults.
 	Fault func(id string) AppFault
-	// EarlyBody is the body of the responses of AppEarly.
-	EarlyBody string
+	// EarlyLength is the least length of the responses of AppEarly, in bytes.
+	EarlyLength int
 	// SetHeaders adds headers to each response of the app; nil adds none.
 	SetHeaders func(http.Header)
 }
@@ -309,6 +310,13 @@
 // AppEarlyBytes is how many bytes of a body AppEarly reads before it responds.
 const AppEarlyBytes = 64 << 10
 
+// AppEarlyBody returns the response body of AppEarly: that of AppBody, repeated up to
+// at least n bytes.
+func AppEarlyBody(app, id string, n int) string {
+	body := AppBody(app, id)
+	return strings.Repeat(body, 1+n/len(body))
+}
+
 // respondEarly responds to a request and then reads the rest of its body. The body
 // is recorded once it has ended.
 func (a *App) respondEarly(w http.ResponseWriter, r *http.Request, id string) {
@@ -321,7 +329,7 @@
 		return
 	}
 	defer a.releaseSlot()
-	body := a.opts.EarlyBody
+	body := AppEarlyBody(a.opts.ID, id, a.opts.EarlyLength)
 	w.Header().Set("X-Server-Stamp", a.opts.ID)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(w, body)
--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,8 +43,10 @@
 	meshBaseVMs   = 9
 	// meshMaxVMs keeps a VM's number within the last byte of an address.
 	meshMaxVMs = 240
-	// meshCallerTimeout is how long a caller waits for a response.
+	// meshCallerTimeout is how long a caller waits for a response. Some bookings are
+	// waited for longer than a planned stop takes, for meshBookTimeout.
 	meshCallerTimeout = 4 * time.Second
+	meshBookTimeout   = 8 * time.Second
 )
 
 // MeshOptions configures MeshSoak. All fields are required.
@@ -81,6 +84,9 @@
 	limits     []*limitPeriod
 	faultNames []string
 	appStarts  int
+	// bursts numbers the bursts of bookings, burstCalls are their requests.
+	bursts     int
+	burstCalls sync.WaitGroup
 }
 
 // meshVM is one VM: a node in its own process, a backend server, and proxies
@@ -97,6 +103,8 @@
 	storeProxy              *proxy
 	nodeStarts              int
 	appFault                sync.Map // its key "" holds the active standin.AppFault
+	// appDelay is a time.Duration that the backend server adds to each request.
+	appDelay atomic.Int64
 	// announcements are headers that the backend server adds to its responses.
 	announcements    sync.Map
 	replacementStart time.Time
@@ -104,9 +112,13 @@
 
 // requestRecord is one request as its caller observed it.
 type requestRecord struct {
-	id, path          string
-	vm, nodeStarts    int
-	unsafe            bool
+	id, path       string
+	vm, nodeStarts int
+	unsafe         bool
+	// uploaded is the body of a large upload, "" otherwise.
+	uploaded string
+	// timeout is how long the caller waits.
+	timeout           time.Duration
 	begin, end        time.Time
 	status            int
 	serverStamp, body string
@@ -165,6 +177,7 @@
 	sleep(ctx, meshWarmUp)
 	stopCallers()
 	wg.Wait()
+	s.burstCalls.Wait()
 	violations := s.check(recoveredAt)
 	fmt.Fprintf(s.opts.Out, "seed %d: %d nodes, %d requests, faults: %s; %d broken\n",
 		opts.Seed, opts.VMs, len(s.records), strings.Join(s.faultNames, " "), len(violations))
@@ -251,8 +264,10 @@
 	opts := standin.AppOptions{
 		ID: fmt.Sprintf("i-%d-%d", vm.index, s.appStarts), Service: vm.service, Zone: vm.zone(),
 		Addr: fmt.Sprintf("%s:%d", vm.ip, meshAppPort), Slots: 12, SelfTime: 8 * time.Millisecond,
+		EarlyLength:  meshEarlyLength,
 		OutboundAddr: fmt.Sprintf("%s:%d", vm.ip, meshOutboundPort),
 		Fault: func(string) standin.AppFault {
+			time.Sleep(time.Duration(vm.appDelay.Load()))
 			f, _ := vm.appFault.Load("")
 			if f == nil || rand.IntN(3) > 0 {
 				return ""
@@ -303,9 +318,13 @@
 func (s *meshSoak) putNextConfig() {
 	s.configVersion++
 	route := func(name, prefix, kind, service string, priority int) standin.StoreRoute {
+		timeout := meshCallerTimeout
+		if name == "book" {
+			timeout = meshBookTimeout
+		}
 		return standin.StoreRoute{
 			Name: name, Host: meshHost, Prefix: prefix, Kind: kind, Service: service,
-			Timeout: meshCallerTimeout, LatencyGoal: time.Second, Priority: priority, MaxAttempts: 2,
+			Timeout: timeout, LatencyGoal: time.Second, Priority: priority, MaxAttempts: 2,
 		}
 	}
 	routes := []standin.StoreRoute{
--- a/trial/mesh_check.go
+++ b/trial/mesh_check.go
@@ -61,6 +61,7 @@
 	}
 	for _, r := range s.records {
 		violations = append(violations, s.checkRequest(r, runs[r.id])...)
+		violations = append(violations, s.checkUpload(r)...)
 	}
 	violations = append(violations, s.checkNoRollback()...)
 	violations = append(violations, s.checkConfigInForce()...)
@@ -79,8 +80,8 @@
 // planned stop interrupted it.
 func (s *meshSoak) checkRequest(r requestRecord, runs int) []string {
 	var violations []string
-	if r.err == nil && r.status == http.StatusOK && r.body != standin.AppBody(r.serverStamp, r.id) {
-		violations = append(violations, fmt.Sprintf("request %s got %q from %s", r.id, r.body, r.serverStamp))
+	if r.err == nil && r.status == http.StatusOK && r.body != standin.AppBody(r.serverStamp, r.id) && r.body != standin.AppEarlyBody(r.serverStamp, r.id, meshEarlyLength) {
+		violations = append(violations, fmt.Sprintf("request %s got %.100q from %s", r.id, r.body, r.serverStamp))
 	}
 	if r.unsafe && runs > 1 {
 		violations = append(violations, fmt.Sprintf("request %s ran %d times", r.id, runs))
@@ -94,6 +95,23 @@
 	return violations
 }
 
+// checkUpload checks that a backend server which got a large body to its end got it
+// as it was sent.
+func (s *meshSoak) checkUpload(r requestRecord) []string {
+	if r.uploaded == "" {
+		return nil
+	}
+	var violations []string
+	for _, vm := range s.vms {
+		for _, app := range vm.allApps {
+			if _, _, got := app.LastRequest(r.id); got != "" && got != r.uploaded {
+				violations = append(violations, fmt.Sprintf("request %s: %s got another body, %d bytes of %d", r.id, app.ID(), len(got), len(r.uploaded)))
+			}
+		}
+	}
+	return violations
+}
+
 // cutByPlannedStop reports whether the caller's node was stopped as planned
 // while the request was in progress. Only a fault that kills or pauses that
 // process excuses it, or a signal that ended the process before it listened: then
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -21,6 +23,14 @@
 	meshCallPause      = 300 * time.Millisecond
 	// meshLimitDuration outlasts meshLimitSettleTime and one meshLimitWindow.
 	meshLimitDuration = 9 * time.Second
+	// meshSlowDelay is what the backend servers of the bookings add to each when slow.
+	// meshSlowBurst more bookings than usual arrive, one every meshSlowPause, so that
+	// some wait for a slot until a planned stop of their node ends. meshSlowDuration
+	// outlasts such a stop.
+	meshSlowDelay    = 2500 * time.Millisecond
+	meshSlowBurst    = 160
+	meshSlowPause    = 40 * time.Millisecond
+	meshSlowDuration = 9 * time.Second
 	// meshServerLimit is the requests per second that a limited backend server takes.
 	meshServerLimit = 8
 )
@@ -126,6 +136,8 @@
 	{name: "app-endless", begin: appFault(standin.AppEndless)},
 	{name: "app-cut-head", begin: appFault(standin.AppCutHead)},
 	{name: "app-refuse-twice", begin: appFault(standin.AppRefuseTwice)},
+	{name: "app-early", begin: appFault(standin.AppEarly)},
+	{name: "app-slow", begin: (*meshSoak).slowBookings, duration: meshSlowDuration},
 	{name: "app-limit", begin: (*meshSoak).limitApp, duration: meshLimitDuration},
 	{name: "config", begin: func(s *meshSoak, _ *meshVM) func() {
 		s.putNextConfig()
@@ -237,6 +249,31 @@
 	}
 }
 
+// slowBookings makes all backend servers of the bookings slow, and sends bookings
+// through all nodes in turn.
+func (s *meshSoak) slowBookings(*meshVM) func() {
+	setDelay := func(d time.Duration) {
+		for _, vm := range s.vms {
+			if vm.service == "book" {
+				vm.appDelay.Store(int64(d))
+			}
+		}
+	}
+	setDelay(meshSlowDelay)
+	s.bursts++
+	burst := s.bursts
+	go func() {
+		client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+		for i := range meshSlowBurst {
+			from := s.vms[i%len(s.vms)]
+			r := requestRecord{id: fmt.Sprintf("burst%d-%d", burst, i), vm: from.index, path: "/book/x", unsafe: true, timeout: meshBookTimeout}
+			s.burstCalls.Go(func() { s.call(context.Background(), client, from, r) })
+			time.Sleep(meshSlowPause)
+		}
+	}()
+	return func() { setDelay(0) }
+}
+
 // vmGroupDivisor is the inverse of the fraction of VMs in a group.
 const vmGroupDivisor = 3
 
