mesh: Test the repeated withdrawal, and a stop while an upload stalls

Both hold as they are; the first guards against a request that is on its way to its node being missed, the second against a stop that waits for a stalled caller.

--- a/mesh/upload_test.go
+++ b/mesh/upload_test.go
@@ -151,3 +151,21 @@
 	require.Equal(t, http.StatusGatewayTimeout, c.readStatus())
 	c.requireClosed()
 }
+
+// Guards against a planned stop that hangs, or leaves a request without a response,
+// because its caller's upload stalls.
+func TestUploadStalledStop(t *testing.T) {
+	f := newFleet(t)
+	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10})
+	art := f.add(standin.AppOptions{ID: "i-art", Service: "art", Slots: 1})
+	f.applyConfig(1, routeTo("art", "/art/", "upload"))
+	c := shop.connect(t)
+	c.send("POST /art/x HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: stalled\r\nX-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n")
+	c.send(fmt.Sprintf("%x\r\n%s\r\n", 2*maxBufferedBody, numberedBytes(2*maxBufferedBody)))
+	require.Eventually(t, func() bool { return len(art.app.Arrivals()) == 1 }, waitLimit, time.Millisecond)
+	shop.node.grace.Store(int64(2 * time.Second))
+	shop.stop()
+	require.Equal(t, http.StatusBadGateway, c.readStatus(), "the outcome is unknown")
+	c.requireClosed()
+	require.NoError(t, <-shop.done)
+}
--- a/mesh/withdraw_test.go
+++ b/mesh/withdraw_test.go
@@ -1,14 +1,21 @@
 package mesh
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"dogwoodhead/peer"
 	"dogwoodhead/standin"
 )
 
@@ -133,3 +140,26 @@
 	require.Equal(t, http.StatusOK, (<-running).status)
 	require.NoError(t, <-shop.done)
 }
+
+// Guards against a request that is on its way to another node being missed by the
+// withdrawal and waiting there until its connection is closed.
+func TestWithdrawRepeats(t *testing.T) {
+	var withdrawals atomic.Int32
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &Node{clock: clockwork.NewRealClock()}
+	n.sent = newSentRequests(log, func(_ context.Context, addr string, w peer.Withdrawal) error {
+		require.Equal(t, "node", addr)
+		require.Equal(t, []string{"one"}, w.IDs)
+		withdrawals.Add(1)
+		return errors.New("not reached")
+	})
+	c := &call{id: "one"}
+	require.True(t, n.sent.add(c, "node"))
+	n.withdrawUntil(n.clock.Now().Add(waitLimit), func() bool { return withdrawals.Load() >= 3 })
+	require.GreaterOrEqual(t, withdrawals.Load(), int32(3))
+	require.False(t, n.sent.add(&call{id: "two"}, "node"), "no more are sent")
+	n.sent.remove(c)
+	n.sent.withdraw(context.Background())
+	require.Equal(t, int32(3), withdrawals.Load(), "nothing is left to withdraw")
+}
