--- a/mesh/node_log.go
+++ b/mesh/node_log.go
@@ -27,10 +27,16 @@
 		n.log.WithFields(fields).Warn("store lost")
 		return
 	}
-	if ago, away := n.view.SinceStoreReturn(); away {
+	addStoreReturn(fields, n.view)
+	n.log.WithFields(fields).Info("store connected")
+}
+
+// addStoreReturn adds to a log line how long ago the store returned from its last
+// outage, if it was away.
+func addStoreReturn(fields logrus.Fields, view *catalog.View) {
+	if ago, away := view.SinceStoreReturn(); away {
 		fields["returned"] = ago.Milliseconds()
 	}
-	n.log.WithFields(fields).Info("store connected")
 }
 
 // logReadingStopped logs that this node leaves reading the store to others.
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -240,9 +240,7 @@
 // that are removed may have expired.
 func (s *syncer) logListFrom(from string, update peer.Update) {
 	fields := logrus.Fields{"peer": from, "list": update.Rev, "changes": len(update.Changes)}
-	if ago, away := s.opts.view.SinceStoreReturn(); away {
-		fields["returned"] = ago.Milliseconds()
-	}
+	addStoreReturn(fields, s.opts.view)
 	s.opts.log.WithFields(fields).Info("list from peer")
 }
 
