mesh: Bound what one slow request adds to a route's duration

Change: a sample counts for twice the estimate at most. A route that has become slow is known after a few requests all the same.

TestDurations before: "5.62322014s" is not less than "2s"; with the change it holds, also for ten slow requests in a row and twenty quick ones after them.

--- a/mesh/durations.go
+++ b/mesh/durations.go
@@ -32,7 +32,7 @@
 // upper returns a duration that few requests of a route exceed, 0 if unknown.
 func (d *durations) upper(route string) time.Duration {
 	e, _ := d.byRoute.Get(route)
-	return e.mean + upperDeviations*e.deviation
+	return e.upper()
 }
 
 // durationEstimate is a moving average with its mean deviation, as TCP estimates
@@ -46,10 +46,17 @@
 	meanDivisor      = 8
 	deviationDivisor = 4
 	upperDeviations  = 4
+	// maxSampleFactor limits a sample to a multiple of the upper estimate, at least
+	// minSampleLimit: one slow request among quick ones must not let the others be
+	// refused, and a route that has become slow is known after a few.
+	maxSampleFactor = 2
+	minSampleLimit  = time.Millisecond
 )
 
+func (e durationEstimate) upper() time.Duration { return e.mean + upperDeviations*e.deviation }
+
 func (e durationEstimate) add(d time.Duration) durationEstimate {
-	diff := d - e.mean
+	diff := min(d, max(maxSampleFactor*e.upper(), minSampleLimit)) - e.mean
 	e.deviation += (diff.Abs() - e.deviation) / deviationDivisor
 	e.mean += diff / meanDivisor
 	return e
