--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -84,7 +84,8 @@
 	limits     []*limitPeriod
 	faultNames []string
 	appStarts  int
-	// bursts numbers the bursts of bookings, burstCalls are their requests.
+	// bursts numbers the bursts of bookings, burstCalls has the goroutines that send
+	// them.
 	bursts     int
 	burstCalls sync.WaitGroup
 }
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -23,7 +23,7 @@
 	meshCallPause      = 300 * time.Millisecond
 	// meshLimitDuration outlasts meshLimitSettleTime and one meshLimitWindow.
 	meshLimitDuration = 9 * time.Second
-	// meshSlowDelay is what the backend servers of the bookings add to each when slow.
+	// meshSlowDelay is how much longer each booking takes at slow backend servers.
 	// meshSlowBurst more bookings than usual arrive, one every meshSlowPause, so that
 	// some wait for a slot until a planned stop of their node ends. meshSlowDuration
 	// outlasts such a stop.
@@ -262,7 +262,7 @@
 	setDelay(meshSlowDelay)
 	s.bursts++
 	burst := s.bursts
-	go func() {
+	s.burstCalls.Go(func() {
 		client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
 		for i := range meshSlowBurst {
 			from := s.vms[i%len(s.vms)]
@@ -270,7 +270,7 @@
 			s.burstCalls.Go(func() { s.call(context.Background(), client, from, r) })
 			time.Sleep(meshSlowPause)
 		}
-	}()
+	})
 	return func() { setDelay(0) }
 }
 
