--- a/trial/process.go
+++ b/trial/process.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -87,6 +88,10 @@
 		return eris.Errorf("%s ended early: %v: %s", p.name, p.exitErr, p.logTail())
 	}
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		if errors.Is(err, os.ErrProcessDone) {
+			// The goroutine that waits for the process still writes its state.
+			<-p.done
+		}
 		return eris.Wrapf(err, "stop %s", p.name)
 	}
 	select {
