--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand-2 runs the cases of the second review that are scripts.
 package main
 
--- a/review/stand-2/slowread.go
+++ b/review/stand-2/slowread.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
