--- a/review/stand-2/lab.go
+++ b/review/stand-2/lab.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,6 +27,8 @@
 	host = "app.example"
 	// readyTimeout bounds the start of the nodes.
 	readyTimeout = 15 * time.Second
+	// readBuffer is the size of a backend server's socket buffer, in bytes.
+	readBuffer = 64 << 10
 )
 
 // route is one route of the configuration.
@@ -259,7 +262,13 @@
 	if err != nil {
 		return nil, err
 	}
-	srv := &http.Server{Handler: h}
+	srv := &http.Server{Handler: h, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// Links have small windows, whatever this machine's defaults are.
+			_ = tcp.SetReadBuffer(readBuffer)
+		}
+		return ctx
+	}}
 	go func() { _ = srv.Serve(ln) }()
 	return func() { _ = srv.Close() }, nil
 }
