h1: Limit the fields of a response's head

A backend server or another node could answer with a head of 64 KB that has some 16,000 fields. Each is an entry of a map, so that such a head takes about 100 bytes a field, and every request in progress may hold one.

The limit was one of bytes only. A head, with the interim responses before it, now has at most 1,024 lines. No server of the users' platform sends more than a few dozen.

Before: TestEndlessResponses/fields fails, 66,753 bytes read, 8,192 allowed (seen with the new limit switched off). After: it passes.

--- a/h1/client.go
+++ b/h1/client.go
@@ -17,6 +17,9 @@
 	// maxHeadBytes limits the status line and header of a response, together with
 	// the interim (1xx) responses before it, up to one read buffer more.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines limits the lines of the same: each takes many times its length in
+	// memory.
+	maxHeadLines = 1024
 	// maxBodyBytes limits the body of a response. It is the largest body that the
 	// users' platform allows.
 	maxBodyBytes = 64 << 20
@@ -36,7 +39,7 @@
 var (
 	// errOtherRequest reports a response that belongs to another request.
 	errOtherRequest = errors.New("response to another request")
-	// errHeadTooLarge reports a response whose head exceeds maxHeadBytes.
+	// errHeadTooLarge reports a response whose head exceeds maxHeadBytes or maxHeadLines.
 	errHeadTooLarge = errors.New("head of the response is too large")
 	// errBodyTooLarge reports a response whose body exceeds maxBodyBytes.
 	errBodyTooLarge = errors.New("body of the response is too large")
--- a/h1/endless_test.go
+++ b/h1/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -116,6 +117,11 @@
 	if text["large"] != "" {
 		limit = maxBodyBytes + maxEndlessBytes
 	}
+	if text["limit"] != "" {
+		var err error
+		limit, err = strconv.ParseInt(strings.TrimSpace(text["limit"]), 10, 64)
+		require.NoError(t, err)
+	}
 	require.LessOrEqual(t, read.Load(), limit)
 }
 
--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -158,11 +158,11 @@
 // readHeader reads the status line and header of the next response, and skips
 // interim (1xx) ones.
 func (x *exchange) readHeader(method string) (*http.Response, error) {
-	x.conn.headBytesLeft = maxHeadBytes
+	x.conn.headBytesLeft, x.conn.headLinesLeft = maxHeadBytes, maxHeadLines
 	defer func() { x.conn.headBytesLeft = noHeadLimit }()
 	for {
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
-		if err != nil && x.conn.headBytesLeft <= 0 {
+		if err != nil && x.conn.headTooLarge() {
 			return nil, errHeadTooLarge
 		}
 		if err != nil {
--- a/h1/pool.go
+++ b/h1/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"math"
 	"net"
@@ -19,9 +20,10 @@
 	addr string
 	// br reads from this persistConn, which enforces headBytesLeft.
 	br *bufio.Reader
-	// headBytesLeft is how many bytes may still be read for the head of a
-	// response; it starts at noHeadLimit while no head is read.
+	// headBytesLeft and headLinesLeft are how many bytes and lines may still be read for
+	// the head of a response. The bytes start at noHeadLimit while no head is read.
 	headBytesLeft int64
+	headLinesLeft int
 	// received is the number of bytes read since the latest request was sent.
 	received int64
 	// reused is set once the connection was idle after a request.
@@ -49,16 +51,24 @@
 // Read reads from the connection. It fails with errHeadTooLarge if the limit of
 // the head was reached before.
 func (c *persistConn) Read(p []byte) (int, error) {
-	if c.headBytesLeft <= 0 {
+	if c.headTooLarge() {
 		return 0, errHeadTooLarge
 	}
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
-	c.headBytesLeft -= int64(n)
+	if c.headBytesLeft != noHeadLimit {
+		c.headBytesLeft -= int64(n)
+		c.headLinesLeft -= bytes.Count(p[:n], []byte{'\n'})
+	}
 	return n, err
 }
 
 // pool keeps idle connections and reuses the latest first, so that few stay open.
+// headTooLarge reports whether the head that is being read has reached its limit.
+func (c *persistConn) headTooLarge() bool {
+	return c.headBytesLeft != noHeadLimit && (c.headBytesLeft <= 0 || c.headLinesLeft <= 0)
+}
+
 type pool struct {
 	clock clockwork.Clock
 	// maxIdle is the maximum number of idle connections to each address.
