operator: Limit the bytes of the log lines that wait for their reader

Callers choose the id, host and target of a request, and up to 2,048 lines with them wait for a slow reader: 48 KB a line within the limits of a head. While nobody reads the log, that is some 100 MB.

The queue was bounded in lines only. A value is now cut at 1 KB, with its length in its place, and the queue is bounded at 2 MB; lines beyond that are dropped and counted, as before.

Before: TestLogQueueBytes fails, 15,172,685 bytes queued in lines of the rate limit's number, 2,097,152 allowed (seen with both limits switched off). After: it passes.

--- a/operator/line.go
+++ b/operator/line.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,6 +20,9 @@
 	maxStackKeys = 32
 	// initialLineSize is a size in bytes that most lines do not exceed.
 	initialLineSize = 640
+	// maxValueLength is the length in bytes at which a value is cut. Clients choose some of
+	// the values, and the lines that wait for a slow reader are held in memory.
+	maxValueLength = 1 << 10
 )
 
 // Format implements logrus.Formatter.
@@ -51,7 +55,7 @@
 func appendValue(b []byte, v any) ([]byte, error) {
 	switch v := v.(type) {
 	case string:
-		return appendString(b, v), nil
+		return appendString(b, cutValue(v)), nil
 	case bool:
 		return strconv.AppendBool(b, v), nil
 	case int:
@@ -61,12 +65,20 @@
 	case uint64:
 		return strconv.AppendUint(b, v, 10), nil
 	case error:
-		return appendString(b, v.Error()), nil
+		return appendString(b, cutValue(v.Error())), nil
 	}
 	src, err := json.Marshal(v)
 	return append(b, src...), err
 }
 
+// cutValue cuts a value that is too long, and says so.
+func cutValue(s string) string {
+	if len(s) <= maxValueLength {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxValueLength], "") + "... (" + strconv.Itoa(len(s)) + " bytes)"
+}
+
 // appendString appends s as a JSON string. It copies s if nothing needs an escape.
 func appendString(b []byte, s string) []byte {
 	for i := range len(s) {
--- a/operator/log.go
+++ b/operator/log.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// logQueueSize is how many lines wait for a slow reader before lines are dropped.
-	logQueueSize = 2048
+	// logQueueSize is how many lines, and maxQueuedBytes how many bytes of them, wait for a
+	// slow reader before lines are dropped.
+	logQueueSize   = 2048
+	maxQueuedBytes = 2 << 20
 	// infoLinesPerSecond and warnLinesPerSecond limit the lines below and from the
 	// level warn, so that the volume does not grow with the load.
 	infoLinesPerSecond = 150
@@ -30,6 +32,8 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	// queuedBytes is the length of the queued lines.
+	queuedBytes atomic.Int64
 	// closing is closed by Close, done once the lines queued by then are written.
 	// lines is never closed, so that a late line is lost and not a panic.
 	closing, done chan struct{}
@@ -123,14 +127,23 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	select {
-	case s.lines <- append([]byte(nil), p...):
-	default:
+	if s.queuedBytes.Add(int64(len(p))) > maxQueuedBytes || !s.queue(append([]byte(nil), p...)) {
+		s.queuedBytes.Add(-int64(len(p)))
 		s.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
+// queue queues a line and reports whether there is room.
+func (s *LogStream) queue(line []byte) bool {
+	select {
+	case s.lines <- line:
+		return true
+	default:
+		return false
+	}
+}
+
 // writeBatches writes the queued lines in batches until Close.
 func (s *LogStream) writeBatches() {
 	defer close(s.done)
@@ -138,7 +151,7 @@
 	for {
 		select {
 		case line := <-s.lines:
-			batch = append(batch[:0], line...)
+			batch = s.appendLine(batch[:0], line)
 			s.waitForBatch()
 			batch = s.drainQueue(batch)
 			// A failed write loses the lines; there is nowhere else to report it.
@@ -171,7 +184,7 @@
 	for len(batch) < maxBatchBytes {
 		select {
 		case line := <-s.lines:
-			batch = append(batch, line...)
+			batch = s.appendLine(batch, line)
 		default:
 			return batch
 		}
@@ -179,6 +192,12 @@
 	return batch
 }
 
+// appendLine appends a line that was taken from the queue.
+func (s *LogStream) appendLine(batch, line []byte) []byte {
+	s.queuedBytes.Add(-int64(len(line)))
+	return append(batch, line...)
+}
+
 // Close writes the queued lines, for at most the given time. Lines logged
 // afterwards are lost.
 func (s *LogStream) Close(wait time.Duration) {
--- a/operator/log_test.go
+++ b/operator/log_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 )
 
@@ -23,3 +25,32 @@
 	require.NotPanics(t, func() { log.Info("after") })
 	require.NotContains(t, out.String(), "after")
 }
+
+// stalledWriter blocks each write until release is closed.
+type stalledWriter struct{ release chan struct{} }
+
+func (w stalledWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// Guards against values that clients choose filling the memory while the reader of the
+// log is slow.
+func TestLogQueueBytes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	out := stalledWriter{release: make(chan struct{})}
+	log, stream, err := NewLogger(out, "info", clock)
+	require.NoError(t, err)
+	long := strings.Repeat("x", 16<<10)
+	for range 2 * logQueueSize {
+		log.WithFields(logrus.Fields{"request": long, "target": long, "host": long}).Warn("reject")
+		clock.Advance(time.Second)
+	}
+	queued := 0
+	for len(stream.lines) > 0 {
+		queued += len(<-stream.lines)
+	}
+	require.Greater(t, queued, 0)
+	require.LessOrEqual(t, queued, maxQueuedBytes)
+	close(out.release)
+}
