operator: Limit the targets with counters of their own

The node beside a backend server counts requests by the route that the sending node names. A sender that names a new one each time made the node keep a counter for each, for good; so did a configuration whose routes are replaced again and again.

At most 1,024 targets have counters of their own; the others share the label "other", as callers beyond their limit did already.

Before: TestTargetLabels fails, 4,096 counters, 1,025 allowed (seen with the limit switched off). After: it passes.

--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -11,15 +11,21 @@
 	"dogwoodhead/frame"
 )
 
-// maxCallerLabels limits the callers with a separate histogram, which bounds a
-// node's memory; the others share the label "other".
-const maxCallerLabels = 100
+// maxCallerLabels limits the callers with a separate histogram and maxTargetLabels the
+// targets with separate counters, which bounds a node's memory: other nodes name both. The
+// rest share the label "other".
+const (
+	maxCallerLabels = 100
+	maxTargetLabels = 1024
+)
 
 // Metrics counts calls and measures their times.
 type Metrics struct {
 	mu sync.Mutex
-	// callers holds at most maxCallerLabels names. It is guarded by mu.
+	// callers holds at most maxCallerLabels names, targets at most maxTargetLabels. They
+	// are guarded by mu.
 	callers map[string]bool
+	targets map[frame.Target]bool
 	// counters, durations and named cache the metrics by their label values,
 	// because formatting a full name is too expensive for every call.
 	counters  metricCache[outcomeKey, metrics.Counter]
@@ -44,7 +50,9 @@
 }
 
 // NewMetrics returns an empty set.
-func NewMetrics() *Metrics { return &Metrics{callers: make(map[string]bool)} }
+func NewMetrics() *Metrics {
+	return &Metrics{callers: make(map[string]bool), targets: make(map[frame.Target]bool)}
+}
 
 // ObserveInbound records a call from another node to the local backend server.
 func (m *Metrics) ObserveInbound(target frame.Target, class string, outcome frame.Outcome, reason frame.Reason, elapsed time.Duration) {
@@ -70,16 +78,38 @@
 }
 
 func (m *Metrics) countOutcome(k outcomeKey) {
+	if !m.counters.has(k) && !m.addTarget(k.target) {
+		k.target = frame.Target{}
+	}
 	m.counters.get(k, func() *metrics.Counter {
 		name := "dogwood_inbound_total"
 		if k.ingress {
 			name = "dogwood_entry_total"
 		}
 		return metrics.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q,operation=%q,class=%q,outcome=%q,reason=%q}`,
-			name, k.target.Service(), k.target.Operation(), k.class, k.outcome, k.reason))
+			name, labelOr(k.target.Service()), labelOr(k.target.Operation()), k.class, k.outcome, k.reason))
 	}).Inc()
 }
 
+// labelOr returns the label of a name, "other" for that of the zero target.
+func labelOr(name string) string {
+	if name == "" {
+		return "other"
+	}
+	return name
+}
+
+// addTarget reports whether a target has counters of its own, and registers a new one.
+func (m *Metrics) addTarget(t frame.Target) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.targets[t] && len(m.targets) >= maxTargetLabels {
+		return false
+	}
+	m.targets[t] = true
+	return true
+}
+
 func (m *Metrics) observeDuration(k durationKey, elapsed time.Duration) {
 	m.durations.get(k, func() *metrics.Histogram {
 		return metrics.GetOrCreateHistogram(fmt.Sprintf(`%s{%s=%q,class=%q}`, k.metric, k.label, k.value, k.class))
@@ -123,6 +153,12 @@
 	entries sync.Map
 }
 
+// has reports whether the metric of a key exists.
+func (c *metricCache[K, V]) has(k K) bool {
+	_, ok := c.entries.Load(k)
+	return ok
+}
+
 // get returns the metric of a key and creates it on first use.
 func (c *metricCache[K, V]) get(k K, create func() *V) *V {
 	if v, ok := c.entries.Load(k); ok {
