mesh: Limit the names in a request between nodes

A node keeps backpressure and other estimates by route, for up to 4,096 routes, under the name that the sending node states. The name was as long as a head allows, so that 4,096 of them took up to 256 MB.

Names of routes, instances and services have at most 1 KB; a request with a longer one is refused as malformed.

Before: TestHopNameLength fails, no error (the limit did not exist). After: it passes.

--- a/mesh/hop.go
+++ b/mesh/hop.go
@@ -21,6 +21,9 @@
 	reservedPrefix = "Dogwood-"
 	// hopFields is the number of fields of headerHop in a request, the id last.
 	hopFields = 7
+	// maxHopName is the longest name of a route, an instance or a service in a request, in
+	// bytes. A node keeps what it knows of a route by its name.
+	maxHopName = 1 << 10
 	// replyFields is the number of fields of headerHop in a response.
 	replyFields = 6
 )
@@ -71,6 +74,9 @@
 	if err != nil {
 		return "", 0, &hopError{field: "left"}
 	}
+	if max(len(fields[3]), len(fields[4]), len(fields[5])) > maxHopName {
+		return "", 0, &hopError{field: "name"}
+	}
 	c.idempotent, c.isRetry = fields[1][0] == 'i', fields[1][1] == 'r'
 	c.route, c.origin, c.id = fields[3], fields[5], fields[6]
 	return fields[4], time.Duration(ms) * time.Millisecond, nil
--- a/mesh/hop_test.go
+++ b/mesh/hop_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +31,19 @@
 	})
 }
 
+// Guards against names that other nodes choose, and under which a node keeps what it knows,
+// filling the memory.
+func TestHopNameLength(t *testing.T) {
+	c := &call{id: "one", route: strings.Repeat("r", maxHopName)}
+	_, _, err := (&call{}).decodeHop(c.encodeHop("i-1", time.Second))
+	require.NoError(t, err)
+	c.route += "r"
+	_, _, err = (&call{}).decodeHop(c.encodeHop("i-1", time.Second))
+	var malformed *hopError
+	require.ErrorAs(t, err, &malformed)
+	require.Equal(t, "name", malformed.Field())
+}
+
 // Guards against outcomes and feedback being decoded wrongly.
 func TestReplyRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
