peer: Bound the memory of the heads of all requests

What users saw: clients that sent heads over the limit or without end ended a process, which ran out of memory.

Cause: net/http reads a head of up to 1 MB for each connection, whatever the limit of the configuration, and parses it while it arrives. A field of few bytes is an entry of a map, so that 1 MB becomes 30 MB or more. The limit of the configuration was applied to the parsed head only, and nothing bounded what all heads take together: 380 heads that are within the limit and not complete took 73 MB of 64.

An accepted connection (clientConn, which takes the place of timeoutConn) now measures the head while it passes it on: a head that exceeds the limit gets 431 at once. It charges an estimate of the head's memory, its bytes and its fields, to a budget of its listener, a sixteenth of the process's memory for callers and for other nodes each, until the request has ended. If the budget is used up, connections that have no request in progress are closed in the order of what it costs their clients; if there is none, the request gets 503, which is true: it has not been read. A single request is served however much its head takes, and the estimate depends on no pattern of bytes. The head of a rejected request stays charged until its connection is closed: the parser holds it while the rest of the input is drained.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -115,22 +115,30 @@
 	}
 }
 
-// callerTimeouts returns the configured timeouts of callers' connections.
-func (in *ingress) callerTimeouts() peer.ListenerTimeouts {
-	timeouts := peer.ListenerTimeouts{Header: peer.DefaultHeaderTimeout, Idle: peer.DefaultIdleTimeout}
+// callerLimits returns the configured limits of callers' requests.
+func (in *ingress) callerLimits() peer.RequestLimits {
+	limits := peer.DefaultRequestLimits()
 	cfg := in.opts.view.Config()
 	if cfg == nil {
-		return timeouts
+		return limits
 	}
 	if d := cfg.Limits().HeaderTimeout; d > 0 {
-		timeouts.Header = d
+		limits.HeaderTimeout = d
 	}
 	if d := cfg.Limits().IdleTimeout; d > 0 {
-		timeouts.Idle = d
+		limits.IdleTimeout = d
 	}
-	return timeouts
+	if n := cfg.Limits().MaxHeaderBytes; n > 0 {
+		// parse applies the configured limit exactly.
+		limits.HeadBytes = n + headSlack
+	}
+	return limits
 }
 
+// headSlack is what a head may have in bytes beyond the configured limit, which does
+// not count the method and the separators of the request line.
+const headSlack = 1 << 10
+
 // parse reads a request. It returns a non-zero status if it can't be served.
 func (in *ingress) parse(w http.ResponseWriter, r *http.Request, stats *requestStats) (*call, int) {
 	c := &call{
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -91,6 +91,8 @@
 	endLifetime context.CancelFunc
 	// grace is the shutdown grace period, a time.Duration.
 	grace atomic.Int64
+	// holdLimits bound what the clients of the listeners make the process hold.
+	holdLimits holdLimits
 	// incarnations is used by applyServers, whose calls do not overlap.
 	incarnations *incarnations
 }
@@ -108,7 +110,8 @@
 	n := &Node{
 		settings: s, version: version, log: log, clock: clock,
 		metrics: operator.NewMetrics(), controlMetrics: metrics.NewSet(), bodyMemory: semaphore.NewWeighted(s.MemoryLimit() / bodyMemoryDivisor),
-		budgets: newRetryBudgets(s.RetryRatio(), s.RetrySlack(), clock), splitter: newSplitter(rand.Float64),
+		holdLimits: newHoldLimits(s.MemoryLimit()),
+		budgets:    newRetryBudgets(s.RetryRatio(), s.RetrySlack(), clock), splitter: newSplitter(rand.Float64),
 	}
 	n.lifetime, n.endLifetime = context.WithCancel(context.Background())
 	n.grace.Store(int64(s.Grace()))
--- a/mesh/node_log.go
+++ b/mesh/node_log.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dogwoodhead/catalog"
+	"dogwoodhead/peer"
 )
 
 // maxLoggedError bounds the text of an error about an entry, in bytes: it can quote
@@ -56,3 +57,10 @@
 func (n *Node) logDeferredRemoval(s catalog.Server, left time.Duration) {
 	n.log.WithFields(logrus.Fields{"instance": s.ID, "address": s.Addr, "entry": s.Rev, "left": left.Milliseconds()}).Info("removal deferred")
 }
+
+// logClosedConn logs a connection of a client that was closed for a limit.
+func (n *Node) logClosedConn(c peer.ClosedConn) {
+	n.log.WithFields(logrus.Fields{
+		"listener": c.Listener(), "remote": c.Remote().String(), "phase": c.Phase(), "open": c.Open(),
+	}).Warn("connection closed for a limit")
+}
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -138,7 +138,13 @@
 	if err != nil {
 		return failedExchange(ctx, err)
 	}
-	r, err := decodeReply(resp.Header.Get(headerHop))
+	reply := resp.Header.Get(headerHop)
+	if reply == "" && resp.Status == http.StatusServiceUnavailable {
+		// The node's listener had no memory for the head, so that the request was not read.
+		_ = resp.Body.Close()
+		return refused(frame.ReasonMemory, "the node beside the backend server has no memory for the request")
+	}
+	r, err := decodeReply(reply)
 	if err != nil {
 		_ = resp.Body.Close()
 		return unknownOutcome(frame.ReasonPartial, err.Error())
--- a/mesh/respond.go
+++ b/mesh/respond.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +9,7 @@
 
 	"dogwoodhead/frame"
 	"dogwoodhead/operator"
+	"dogwoodhead/peer"
 	"dogwoodhead/platform"
 )
 
@@ -78,11 +78,11 @@
 	in.writeStatus(w, c, status)
 }
 
-// logHeaderTimeout logs a request that got status 408 because its header timed out.
-func (in *ingress) logHeaderTimeout(remote net.Addr, waited time.Duration) {
+// logHeadRejection logs a request that was rejected before its head was complete.
+func (in *ingress) logHeadRejection(r peer.HeadRejection) {
 	in.opts.log.WithFields(logrus.Fields{
-		"remote": remote.String(), "status": http.StatusRequestTimeout,
-		"config": in.opts.view.ConfigVersion(), "took": waited.Milliseconds(),
+		"remote": r.Remote().String(), "status": r.Status(),
+		"config": in.opts.view.ConfigVersion(), "took": r.Waited().Milliseconds(),
 	}).Warn(operator.MsgReject)
 }
 
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -35,9 +35,13 @@
 	failures := make(chan error, 8)
 	callListener := peer.NewListener("call", net.JoinHostPort(n.settings.IP(), strconv.Itoa(n.settings.CallPort())), n.peerServer)
 	outboundListener := peer.NewListener("outbound", n.settings.OutboundAddr(), n.ingress)
-	outboundListener.SetTimeouts(n.ingress.callerTimeouts, n.ingress.logHeaderTimeout)
+	callListener.SetHoldLimits(n.holdLimits.call, n.logClosedConn)
+	outboundListener.SetHoldLimits(n.holdLimits.outbound, n.logClosedConn)
+	outboundListener.SetRequestLimits(n.ingress.callerLimits, n.ingress.logHeadRejection)
 	readyListener := peer.NewListener("ready", n.settings.ReadyAddr(), http.HandlerFunc(n.serveReady))
 	operatorListener := peer.NewListener("operator", n.settings.OperatorAddr(), n.operatorHandler())
+	readyListener.SetHoldLimits(n.holdLimits.ready, n.logClosedConn)
+	operatorListener.SetHoldLimits(n.holdLimits.operator, n.logClosedConn)
 	listeners := []*peer.Listener{callListener, outboundListener, readyListener, operatorListener}
 	for _, l := range listeners {
 		if err := l.Listen(failures); err != nil {
--- a/peer/disconnect.go
+++ b/peer/disconnect.go
@@ -30,15 +30,14 @@
 		return true
 	default:
 	}
-	c, _ := ctx.Value(connKey{}).(net.Conn)
-	if tc, ok := c.(*timeoutConn); ok {
-		c = tc.Conn
-	}
-	sc, ok := c.(syscall.Conn)
+	sc, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
 		return false
 	}
 	n, err := h1.Peek(sc)
+	if errors.Is(err, errors.ErrUnsupported) {
+		return false
+	}
 	var errno syscall.Errno
 	if errors.As(err, &errno) {
 		return errno == unix.ECONNRESET
--- a/peer/disconnect_test.go
+++ b/peer/disconnect_test.go
@@ -26,7 +26,7 @@
 				require.NoError(t, c.Close())
 			}
 			go func() {
-				_ = l.server.Serve(timeoutListener{Listener: ln, timeouts: l.timeouts, onLateHeader: l.onLateHeader})
+				_ = l.server.Serve(clientListener{Listener: ln, owner: l})
 			}()
 			require.Equal(t, close, <-seen)
 			l.Close()
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -23,9 +23,10 @@
 	ln     net.Listener
 	// acceptDone is closed once no more connections are accepted.
 	acceptDone chan struct{}
-	// timeouts and onLateHeader are those of timeoutConn; fixed after Listen.
-	timeouts     func() ListenerTimeouts
-	onLateHeader func(remote net.Addr, waited time.Duration)
+	// limits, onReject and conns are those of clientConn; fixed after Listen.
+	limits   func() RequestLimits
+	onReject func(HeadRejection)
+	conns    *connSet
 
 	mu sync.Mutex
 	// busy holds the connections that have a request or may send their first.
@@ -36,29 +37,47 @@
 func NewListener(name, addr string, h http.Handler) *Listener {
 	l := &Listener{
 		name: name, addr: addr, acceptDone: make(chan struct{}), busy: make(map[net.Conn]struct{}),
-		timeouts: func() ListenerTimeouts {
-			return ListenerTimeouts{Header: DefaultHeaderTimeout, Idle: DefaultIdleTimeout}
-		},
-		onLateHeader: func(net.Addr, time.Duration) {},
+		limits: DefaultRequestLimits, onReject: func(HeadRejection) {}, conns: newConnSet(name, DefaultHoldLimits(), func(ClosedConn) {}),
 	}
-	l.server = &http.Server{Handler: h, ConnState: l.trackConn, ConnContext: WithConn}
+	l.server = &http.Server{Handler: beginRequests(h), ConnState: l.trackConn, ConnContext: WithConn}
 	return l
 }
 
-// SetTimeouts replaces the timeouts, which may change at any time. onLateHeader is
-// called for each late header and must not block. Call SetTimeouts before Listen.
-func (l *Listener) SetTimeouts(timeouts func() ListenerTimeouts, onLateHeader func(remote net.Addr, waited time.Duration)) {
-	l.timeouts, l.onLateHeader = timeouts, onLateHeader
+// SetRequestLimits replaces the limits of requests, which may change at any time.
+// onReject is called for each request that is rejected before its head is complete, and
+// must not block. Call SetRequestLimits before Listen.
+func (l *Listener) SetRequestLimits(limits func() RequestLimits, onReject func(HeadRejection)) {
+	l.limits, l.onReject = limits, onReject
+}
+
+// SetHoldLimits replaces the limits of what all clients hold. onClose is called for each
+// connection that is closed for one of them, and must not block. Call SetHoldLimits before
+// Listen.
+func (l *Listener) SetHoldLimits(limits HoldLimits, onClose func(ClosedConn)) {
+	l.conns = newConnSet(l.name, limits, onClose)
+}
+
+// beginRequests wraps a handler. A request is dropped if its connection was closed to make
+// room for others.
+func beginRequests(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+			if !c.beginRequest(phaseBusy) {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // trackConn is the http.Server.ConnState hook.
 func (l *Listener) trackConn(c net.Conn, s http.ConnState) {
-	if tc, ok := c.(*timeoutConn); ok {
+	if cc, ok := c.(*clientConn); ok {
 		switch s {
 		case http.StateActive:
-			tc.stopWaiting()
+			cc.stopWaiting()
 		case http.StateIdle:
-			tc.startWaiting()
+			cc.startWaiting()
 		}
 	}
 	l.mu.Lock()
@@ -82,7 +101,7 @@
 	l.ln = ln
 	go func() {
 		defer close(l.acceptDone)
-		err := l.server.Serve(timeoutListener{Listener: ln, timeouts: l.timeouts, onLateHeader: l.onLateHeader})
+		err := l.server.Serve(clientListener{Listener: ln, owner: l})
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failed <- eris.Wrapf(err, "serve %s", l.name)
 		}
@@ -115,3 +134,19 @@
 	defer l.mu.Unlock()
 	return len(l.busy)
 }
+
+// clientListener accepts connections as clientConns.
+type clientListener struct {
+	net.Listener
+	owner *Listener
+}
+
+func (l clientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	cc := newClientConn(c, l.owner)
+	l.owner.conns.add(cc)
+	return cc, nil
+}
