peer, mesh: Bound the connections of each listener

What callers saw: while clients kept many connections open, with no request or with empty lines before one, a node ran out of descriptors. It could then neither take a connection nor open one to a backend server, nor read its settings.

Cause: nothing bounded the connections of a listener, nor the idle ones that a node keeps to all other nodes together (64 to each).

Each listener has a limit, a share of the process's descriptors (the system's limit or the new setting limits.descriptors, which the platform's max-fds fills, whichever is less) or of its memory at 48 KB a connection, whichever is less. Above it a new connection takes the place of one without a request in progress, in the order of what closing it costs: heads that take over a second, then idle ones, then other heads. Where all have a request in progress the new one is closed unread, which lets its client send the request again. A connection whose request begins just then is never closed for another: both are one atomic change of its phase. Closed connections are logged and counted.

The empty lines themselves hold no memory, since net/http rejects the first one.

--- a/h1/client.go
+++ b/h1/client.go
@@ -52,6 +52,9 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// MaxIdlePerServer limits the idle connections to each address; 0 means 64.
 	MaxIdlePerServer int
+	// MaxIdle limits the idle connections to all addresses together; 0 means no limit.
+	// The one that has been idle for the longest time is closed first.
+	MaxIdle int
 	// IdleTimeout limits how long a connection stays idle; 0 means as long as the server
 	// keeps it open.
 	IdleTimeout time.Duration
@@ -110,7 +113,7 @@
 	if opts.ConnOpened == nil {
 		opts.ConnOpened = func(string) {}
 	}
-	return &Client{opts: opts, pool: &pool{clock: opts.Clock, maxIdle: opts.MaxIdlePerServer, idle: make(map[string][]*persistConn)}}
+	return &Client{opts: opts, pool: &pool{clock: opts.Clock, maxIdlePerServer: opts.MaxIdlePerServer, maxIdle: opts.MaxIdle, idle: make(map[string][]*persistConn)}}
 }
 
 // Sweep closes connections whose idle timeout has expired.
--- a/h1/pool.go
+++ b/h1/pool.go
@@ -28,8 +28,9 @@
 	received int64
 	// reused is set once the connection was idle after a request.
 	reused bool
-	// expiresAt is when an idle connection is no longer used.
-	expiresAt time.Time
+	// idleSince is when the connection was last put into the pool, expiresAt when it is
+	// no longer used.
+	idleSince, expiresAt time.Time
 	// failedIDs are the ids of the requests that got no successful response on this
 	// connection, at most maxFailedIDs. None of them may be sent on it again: a late
 	// copy of its first response would be taken for the response to the second send.
@@ -63,18 +64,21 @@
 	return n, err
 }
 
-// pool keeps idle connections and reuses the latest first, so that few stay open.
 // headTooLarge reports whether the head that is being read has reached its limit.
 func (c *persistConn) headTooLarge() bool {
 	return c.headBytesLeft != noHeadLimit && (c.headBytesLeft <= 0 || c.headLinesLeft <= 0)
 }
 
+// pool keeps idle connections and reuses the latest first, so that few stay open.
 type pool struct {
 	clock clockwork.Clock
-	// maxIdle is the maximum number of idle connections to each address.
-	maxIdle int
-	// mu guards idle and closed.
+	// maxIdlePerServer is the maximum number of idle connections to each address, maxIdle
+	// that to all addresses, 0 for no limit.
+	maxIdlePerServer, maxIdle int
+	// mu guards idle, idleCount and closed.
 	mu sync.Mutex
+	// idleCount is the number of connections in idle.
+	idleCount int
 	// idle maps an address to its connections, the most recently used last.
 	idle   map[string][]*persistConn
 	closed bool
@@ -104,6 +108,7 @@
 			continue
 		}
 		p.idle[addr] = slices.Delete(list, i, i+1)
+		p.idleCount--
 		return c
 	}
 	return nil
@@ -111,15 +116,37 @@
 
 // put keeps a connection for the given time, or closes it if there is no room.
 func (p *pool) put(c *persistConn, idle time.Duration) {
-	c.expiresAt = p.clock.Now().Add(idle)
+	c.idleSince = p.clock.Now()
+	c.expiresAt = c.idleSince.Add(idle)
 	c.reused = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.addr]) >= p.maxIdle {
+	if p.closed || len(p.idle[c.addr]) >= p.maxIdlePerServer {
 		_ = c.Close()
 		return
 	}
+	if p.maxIdle > 0 && p.idleCount >= p.maxIdle {
+		p.closeOldest()
+	}
 	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idleCount++
+}
+
+// closeOldest closes the connection that has been idle for the longest time. The caller
+// holds the lock.
+func (p *pool) closeOldest() {
+	var oldest *persistConn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	_ = oldest.Close()
+	p.idle[oldest.addr] = slices.Delete(p.idle[oldest.addr], 0, 1)
+	p.idleCount--
 }
 
 // sweep closes the connections whose idle timeout has expired.
@@ -135,6 +162,7 @@
 				continue
 			}
 			_ = c.Close()
+			p.idleCount--
 		}
 		clear(list[len(kept):])
 		p.idle[addr] = kept
@@ -154,6 +182,7 @@
 		}
 	}
 	p.idle = make(map[string][]*persistConn)
+	p.idleCount = 0
 }
 
 // isReusable reports whether an idle connection is open and has no unread bytes,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -110,7 +110,7 @@
 	n := &Node{
 		settings: s, version: version, log: log, clock: clock,
 		metrics: operator.NewMetrics(), controlMetrics: metrics.NewSet(), bodyMemory: semaphore.NewWeighted(s.MemoryLimit() / bodyMemoryDivisor),
-		holdLimits: newHoldLimits(s.MemoryLimit()),
+		holdLimits: newHoldLimits(descriptorLimit(s, log), s.MemoryLimit()),
 		budgets:    newRetryBudgets(s.RetryRatio(), s.RetrySlack(), clock), splitter: newSplitter(rand.Float64),
 	}
 	n.lifetime, n.endLifetime = context.WithCancel(context.Background())
@@ -137,8 +137,10 @@
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (n *Node) buildClients(dial dialFunc) {
-	n.peerHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial})
-	n.backendHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial, MaxIdlePerServer: maxIdleBackendConns, RequestIDHeader: platform.HeaderRequestID})
+	n.peerHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial, MaxIdle: n.holdLimits.idlePeerConns})
+	n.backendHTTP = h1.NewClient(h1.Options{
+		Clock: n.clock, Dial: dial, MaxIdlePerServer: n.holdLimits.idleBackendConns, RequestIDHeader: platform.HeaderRequestID,
+	})
 	n.storeHTTP = h1.NewClient(h1.Options{Clock: n.clock, Dial: dial, IdleTimeout: storeIdleTimeout})
 }
 
--- a/peer/client_conn_test.go
+++ b/peer/client_conn_test.go
@@ -73,7 +73,7 @@
 // Guards against a request within the limits being refused in calm because its head takes
 // more memory than all heads may, and against what it took staying charged.
 func TestLargeHeadServed(t *testing.T) {
-	l, addr := startListener(t, HoldLimits{HeadMemory: 64 << 10}, func(http.ResponseWriter, *http.Request) {})
+	l, addr := startListener(t, HoldLimits{Conns: 4, HeadMemory: 64 << 10}, func(http.ResponseWriter, *http.Request) {})
 	var head strings.Builder
 	head.WriteString("GET / HTTP/1.1\r\nHost: x\r\n")
 	for i := range 2000 {
@@ -110,3 +110,55 @@
 		requireStatus(t, in, http.StatusOK)
 	}
 }
+
+// Guards against a new connection being refused while others only wait, against one with
+// a request in progress being closed for it, and against a client that is still new being
+// closed before an idle one.
+func TestMakeRoom(t *testing.T) {
+	release := make(chan struct{})
+	l, addr := startListener(t, HoldLimits{Conns: 3, HeadMemory: 1 << 20}, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	send := func(path string) (net.Conn, *bufio.Reader) {
+		c, in := dialListener(t, addr)
+		_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.NoError(t, err)
+		return c, in
+	}
+	phases := func() map[connPhase]int {
+		l.conns.mu.Lock()
+		defer l.conns.mu.Unlock()
+		n := map[connPhase]int{}
+		for c := range l.conns.conns {
+			n[c.state.Load().phase]++
+		}
+		return n
+	}
+	awaitPhases := func(want map[connPhase]int) {
+		t.Helper()
+		require.Eventually(t, func() bool { return fmt.Sprint(phases()) == fmt.Sprint(want) }, 20*time.Second, time.Millisecond)
+	}
+	_, busy := send("/wait")
+	_, idle := send("/")
+	requireStatus(t, idle, http.StatusOK)
+	awaitPhases(map[connPhase]int{phaseBusy: 1, phaseIdle: 1})
+	_, young := dialListener(t, addr)
+	awaitPhases(map[connPhase]int{phaseHead: 1, phaseBusy: 1, phaseIdle: 1})
+	_, second := send("/wait")
+	awaitPhases(map[connPhase]int{phaseHead: 1, phaseBusy: 2})
+	_, err := idle.ReadByte()
+	require.Error(t, err, "the idle connection makes room first")
+	_, third := send("/wait")
+	awaitPhases(map[connPhase]int{phaseBusy: 3})
+	_, err = young.ReadByte()
+	require.Error(t, err)
+	_, refused := dialListener(t, addr)
+	_, err = refused.ReadByte()
+	require.Error(t, err, "no connection with a request in progress makes room")
+	close(release)
+	for _, in := range []*bufio.Reader{busy, second, third} {
+		requireStatus(t, in, http.StatusOK)
+	}
+}
--- a/peer/conn_set.go
+++ b/peer/conn_set.go
@@ -59,11 +59,19 @@
 	}
 }
 
-// add adds a connection.
-func (s *connSet) add(c *clientConn) {
+// add adds a connection and reports whether there is room for it.
+func (s *connSet) add(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for len(s.conns) >= s.limits.Conns {
+		if !s.evictOne(func(*clientConn) bool { return true }) {
+			s.refused.Inc()
+			s.report(c, "new")
+			return false
+		}
+	}
 	s.conns[c] = struct{}{}
+	return true
 }
 
 // remove removes a connection with its charge.
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -135,18 +135,22 @@
 	return len(l.busy)
 }
 
-// clientListener accepts connections as clientConns.
+// clientListener accepts connections as clientConns, if there is room for them.
 type clientListener struct {
 	net.Listener
 	owner *Listener
 }
 
 func (l clientListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		cc := newClientConn(c, l.owner)
+		if l.owner.conns.add(cc) {
+			return cc, nil
+		}
+		_ = c.Close()
 	}
-	cc := newClientConn(c, l.owner)
-	l.owner.conns.add(cc)
-	return cc, nil
 }
--- a/peer/request_limits.go
+++ b/peer/request_limits.go
@@ -29,6 +29,9 @@
 
 // HoldLimits bound what all clients of a Listener together make the process hold.
 type HoldLimits struct {
+	// Conns is the number of open connections, at least 1. A new connection above it
+	// takes the place of the one that is closed at the lowest cost, see connSet.
+	Conns int
 	// HeadMemory is the memory of the heads of the requests in progress, in bytes. Heads
 	// that are not complete count, too. A single request is served however large its head
 	// is, within RequestLimits.
@@ -36,7 +39,7 @@
 }
 
 // DefaultHoldLimits returns the limits of a listener whose process states none.
-func DefaultHoldLimits() HoldLimits { return HoldLimits{HeadMemory: 4 << 20} }
+func DefaultHoldLimits() HoldLimits { return HoldLimits{Conns: 512, HeadMemory: 4 << 20} }
 
 // Estimates of the memory that a request's head takes until the request has ended: its
 // bytes are held as they arrived and as they are passed on, and each field is an entry
--- a/settings/mesh.go
+++ b/settings/mesh.go
@@ -36,8 +36,9 @@
 	Backend string `json:"backend"`
 	Store   string `json:"store"`
 	Limits  struct {
-		MemoryMB int64   `json:"memory"`
-		Cores    float64 `json:"cores"`
+		MemoryMB    int64   `json:"memory"`
+		Cores       float64 `json:"cores"`
+		Descriptors int     `json:"descriptors"`
 	} `json:"limits"`
 	Bounds struct {
 		GraceSeconds float64 `json:"grace"`
@@ -116,6 +117,10 @@
 // Cores returns the number of cores that the process may use.
 func (m *Mesh) Cores() float64 { return m.fields.Limits.Cores }
 
+// Descriptors returns the descriptors that the process may have open, 0 if the
+// settings state none.
+func (m *Mesh) Descriptors() int { return m.fields.Limits.Descriptors }
+
 // Grace returns the time from SIGTERM to SIGKILL.
 func (m *Mesh) Grace() time.Duration {
 	return time.Duration(m.fields.Bounds.GraceSeconds * float64(time.Second))
--- a/settings/mesh_test.go
+++ b/settings/mesh_test.go
@@ -58,8 +58,10 @@
 		"{{listen-addrs.outbound|json}}", `"10.0.0.8:1"`, "{{listen-addrs.ready|json}}", `"10.0.0.8:2"`,
 		"{{internal-ports|json}}", `[7620,7635]`, "{{app-addr|json}}", `"10.0.0.8:8301"`,
 		"{{provider.address|json}}", `"10.200.1.7:8309"`, "{{limits.memory-mb|json}}", "284", "{{limits.cores|json}}", "1",
+		"{{limits.max-fds|json}}", "4100",
 		"{{bounds.grace-s|json}}", "6", "{{bounds.retry-ratio|json}}", "0.2", "{{bounds.retry-slack|json}}", "48",
 	)
-	_, err = ParseMesh("settings.jsonc", []byte(values.Replace(string(src))))
+	m, err := ParseMesh("settings.jsonc", []byte(values.Replace(string(src))))
 	require.NoError(t, err)
+	require.Equal(t, 4100, m.Descriptors())
 }
