peer, mesh: Bound the reading of every request's body

What callers saw: clients that sent a head and only a part of its body held their connections for good, until a node had no descriptors left: 600 of 600 at the listener of other nodes, and no response at all from the listeners of callers and of the platform's probes.

Cause: only a caller's body that is to be passed on had a deadline. The body of a request that is rejected (404 and others), of a probe, of an operator's request and of another node's request had none: net/http reads up to 256 KB of it before it responds.

A request with a body has 5 s for it unless its handler sets another deadline, which the handlers of requests that are passed on do: that of the request. At the node beside the backend server this is new, and the same code as for callers. The rest of a body that is too large is read for 0.5 s, not until the deadline. A connection whose body is being read makes room for a new one, after all others; from RequestRead on it does not, so that no request that may reach a backend server is dropped.

--- a/mesh/body.go
+++ b/mesh/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -33,12 +34,16 @@
 	errBodyLength = errors.New("body is longer than its length")
 )
 
-// readBody buffers a body that is small enough, or sets c.upload. limit is in
-// bytes; 0 means none. The error is errBodyTooLarge for a larger body.
+// readBody buffers a body that is small enough before the request's deadline, or sets
+// c.upload. limit is in bytes; 0 means none. The error is errBodyTooLarge for a larger
+// body.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64, memory *semaphore.Weighted) error {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	conn := http.NewResponseController(w)
+	// Setting a deadline fails only on a closed connection, which the read reports.
+	_ = conn.SetReadDeadline(c.deadline)
 	if limit > 0 && r.ContentLength > limit {
 		return errBodyTooLarge
 	}
@@ -50,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	c.body = body
 	if rest != nil {
 		c.upload, c.uploadLength = newUpload(w, rest, r.Body), r.ContentLength
--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -89,10 +89,14 @@
 	stats := &requestStats{started: in.opts.clock.Now()}
 	c, status := in.parse(w, r, stats)
 	defer c.close()
+	if !peer.RequestRead(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	if status != 0 {
 		if status == http.StatusRequestEntityTooLarge {
 			// Closing a connection with unread bytes resets it, and the caller can lose
 			// the response.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(uploadLinger))
 			_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
 		}
 		in.reject(w, c, stats, status)
@@ -169,13 +173,9 @@
 // readBody reads the body before the request's deadline. It returns a non-zero
 // status if the body can't be read; the request has not run then.
 func (in *ingress) readBody(w http.ResponseWriter, c *call, r *http.Request, limit int64) int {
-	conn := http.NewResponseController(w)
-	// Setting a deadline fails only on a closed connection, which the read reports.
-	_ = conn.SetReadDeadline(c.deadline)
 	err := c.readBody(w, r, limit, in.opts.bodyMemory)
 	switch {
 	case err == nil:
-		_ = conn.SetReadDeadline(time.Time{})
 		return 0
 	case errors.Is(err, errBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -14,6 +14,7 @@
 	"dogwoodhead/board"
 	"dogwoodhead/frame"
 	"dogwoodhead/h1"
+	"dogwoodhead/peer"
 	"dogwoodhead/platform"
 )
 
@@ -37,6 +38,9 @@
 func (s *peerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, instance, err := s.parse(w, r)
 	defer c.close()
+	if !peer.RequestRead(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	if err != nil {
 		s.writeResult(w, c, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.localBackend.feedback(c)})
 		return
--- a/peer/body.go
+++ b/peer/body.go
@@ -61,6 +61,8 @@
 		return nil, frame.NotRunError(frame.ReasonCancelled, "read request body: "+err.Error())
 	case int64(len(body)) > limit:
 		return nil, frame.NotRunError(frame.ReasonSize, "request body is longer than allowed")
+	case !RequestRead(r.Context()):
+		return nil, frame.NotRunError(frame.ReasonCancelled, "connection was closed to make room for others")
 	}
 	return body, nil
 }
--- a/peer/client_conn.go
+++ b/peer/client_conn.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -258,3 +259,11 @@
 	}
 	return sc.SyscallConn()
 }
+
+// RequestRead states that the request of a context has been read as far as its handler
+// waits for it. Its connection is not closed anymore to make room for another. It
+// reports false if that has happened already; the request must not be served then.
+func RequestRead(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*clientConn)
+	return !ok || c.enter(phaseBusy)
+}
--- a/peer/conn_set.go
+++ b/peer/conn_set.go
@@ -11,8 +11,9 @@
 
 // connSet holds the open connections of a Listener and bounds what they hold. Where a
 // limit is reached, it closes connections in the order of what that costs their clients:
-// those that are being rejected, heads that take unusually long, idle ones, and other
-// heads; within these the one that has been so for the longest time. A connection whose request is in progress is never closed for another.
+// those that are being rejected, heads that take unusually long, idle ones, other heads,
+// and requests whose body is being read; within these the one that has been so for the
+// longest time. A connection whose request is in progress is never closed for another.
 // It is safe for concurrent use.
 type connSet struct {
 	name   string
@@ -44,8 +45,8 @@
 // Remote returns the address of the client.
 func (c ClosedConn) Remote() net.Addr { return c.remote }
 
-// Phase returns what the connection was doing: "head", "idle", "rejected" or, if it
-// found no room, "new".
+// Phase returns what the connection was doing: "head", "idle", "body", "message" (of
+// control), "rejected" or, if it found no room, "new".
 func (c ClosedConn) Phase() string { return c.phase }
 
 // Open returns the number of connections that were open then.
@@ -150,6 +151,8 @@
 	phaseHead connPhase = iota
 	// phaseIdle: a response was sent and no byte of the next request has arrived.
 	phaseIdle
+	// phaseBody: the handler reads the body and has not begun to serve the request.
+	phaseBody
 	// phaseBusy: the request is in progress.
 	phaseBusy
 	// phaseRejected: the request was rejected before its head was complete.
@@ -159,7 +162,7 @@
 )
 
 func (p connPhase) String() string {
-	return [...]string{"head", "idle", "busy", "rejected", "evicted"}[p]
+	return [...]string{"head", "idle", "body", "busy", "rejected", "evicted"}[p]
 }
 
 func (p connPhase) isEvictable() bool { return p != phaseBusy && p != phaseEvicted }
@@ -180,8 +183,10 @@
 			return 1
 		}
 		return 3
-	default:
+	case phaseIdle:
 		return 2
+	default:
+		return 4
 	}
 }
 
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -57,12 +57,18 @@
 	l.conns = newConnSet(l.name, limits, onClose)
 }
 
-// beginRequests wraps a handler. A request is dropped if its connection was closed to make
-// room for others.
+// beginRequests wraps a handler. A request that has a body is read within
+// defaultBodyTimeout, unless the handler sets another deadline, and may be dropped to
+// make room for other connections until the handler calls RequestRead.
 func beginRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
-			if !c.beginRequest(phaseBusy) {
+			phase := phaseBusy
+			if r.ContentLength != 0 {
+				phase = phaseBody
+				_ = c.SetReadDeadline(time.Now().Add(defaultBodyTimeout)) // fails only on a closed connection
+			}
+			if !c.beginRequest(phase) {
 				panic(http.ErrAbortHandler)
 			}
 		}
--- a/peer/request_limits.go
+++ b/peer/request_limits.go
@@ -55,6 +55,9 @@
 	// bytes resets it, which can discard the response before the client reads it.
 	rejectDrainTimeout = 500 * time.Millisecond
 	rejectDrainBytes   = 64 << 10
+	// defaultBodyTimeout bounds the reading of a request's body where the handler sets no
+	// deadline, for example because it does not read the body.
+	defaultBodyTimeout = 5 * time.Second
 	// youngHeadAge is how long a head is expected to take at most. Callers of the users'
 	// platform give up a connection that is not served for that long.
 	youngHeadAge = time.Second
