peer, mesh: Bound the writing of responses, and what the kernel holds

What callers saw: after 4 clients had asked for a long response from a backend server with 4 slots and read none of it, no request to that server got a response any more, for as long as they stayed. The same held for other nodes as clients. 300 clients that did not read the metrics made a node hold 78 MB.

Cause: no write to a client had a deadline. A response that is streamed holds its slot until it is written; the deadline of the request ends the reading from the server only. Besides, the kernel lets the buffers of a connection grow to several megabytes, where bytes that follow a request in progress, and unread responses, stay.

Each write to a client has 10 s, and the response to a request that is passed on has 1 s beyond the end of the request, at both nodes. A connection that does not take it is reset, which also drops what the kernel holds. The kernel's buffers of accepted connections are fixed at 128 KB each way, and at 16 KB for what arrives on those above an eighth of the listener's limit.

--- a/mesh/ingress.go
+++ b/mesh/ingress.go
@@ -27,6 +27,9 @@
 	startupRetryAfter = 500 * time.Millisecond
 	// maxAttempts bounds the nodes that are asked to run one request.
 	maxAttempts = 8
+	// responseLinger is how long the client may take to read a response after the end of
+	// its request. A response that is not read may occupy a slot of a backend server.
+	responseLinger = time.Second
 	// maxDiscardedBytes bounds the bytes discarded of a body that is too large.
 	maxDiscardedBytes = 4 << 20
 )
@@ -102,6 +105,7 @@
 		in.reject(w, c, stats, status)
 		return
 	}
+	peer.SetResponseDeadline(r.Context(), c.giveUpAt.Add(responseLinger))
 	ctx, cancel := requestContext(r.Context(), in.opts.lifetime, in.opts.clock, c.giveUpAt)
 	defer cancel()
 	res := refused(frame.ReasonCancelled, "the caller has disconnected")
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -45,6 +45,7 @@
 		s.writeResult(w, c, result{outcome: frame.NotRun, reason: frame.ReasonBad, detail: err.Error(), feedback: s.localBackend.feedback(c)})
 		return
 	}
+	peer.SetResponseDeadline(r.Context(), c.giveUpAt.Add(responseLinger))
 	ctx, cancel := requestContext(r.Context(), s.lifetime, s.clock, c.giveUpAt)
 	defer cancel()
 	res := s.localBackend.run(ctx, c, instance)
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -48,7 +48,7 @@
 			return err
 		}
 	}
-	controlListener, err := net.Listen("tcp", net.JoinHostPort(n.settings.IP(), strconv.Itoa(n.settings.ControlPort())))
+	controlListener, err := peer.Listen(net.JoinHostPort(n.settings.IP(), strconv.Itoa(n.settings.ControlPort())))
 	if err != nil {
 		return eris.Wrap(err, "listen for control")
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -86,7 +85,7 @@
 
 // run serves control messages until ctx is done.
 func (c *controlPlane) run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", c.node.settings.ControlAddr())
+	ln, err := peer.Listen(c.node.settings.ControlAddr())
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s for control messages", c.node.settings.ControlAddr())
 	}
--- a/peer/client_conn.go
+++ b/peer/client_conn.go
@@ -69,6 +69,8 @@
 	readAhead int64
 	// rejected is set once the request was rejected; Write fails from then on.
 	rejected bool
+	// responseDeadline bounds the writing of the response, if it is not zero.
+	responseDeadline time.Time
 }
 
 func newClientConn(c net.Conn, l *Listener) *clientConn {
@@ -126,7 +128,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.headStarted, c.timerStart = true, false, time.Now()
-	c.meter = headMeter{}
+	c.meter, c.responseDeadline = headMeter{}, time.Time{}
 }
 
 // stopWaiting is called when the head of a request has been read. The rest of the
@@ -240,15 +242,24 @@
 	c.onReject(r)
 }
 
-// Write writes p, or returns net.ErrClosed after the request was rejected.
+// Write writes p within writeTimeout and the deadline of the response, or returns
+// net.ErrClosed after the request was rejected.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	rejected := c.rejected
+	rejected, deadline := c.rejected, time.Now().Add(writeTimeout)
+	if !c.responseDeadline.IsZero() && c.responseDeadline.Before(deadline) {
+		deadline = c.responseDeadline
+	}
 	c.mu.Unlock()
 	if rejected {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	_ = c.SetWriteDeadline(deadline) // fails only on a closed connection
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.abort()
+	}
+	return n, err
 }
 
 // SyscallConn implements syscall.Conn.
@@ -260,6 +271,13 @@
 	return sc.SyscallConn()
 }
 
+// shrinkReceiveBuffer reduces the bytes that the kernel holds for the connection.
+func (c *clientConn) shrinkReceiveBuffer() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(smallReceiveBuffer) // fails only on a closed connection
+	}
+}
+
 // RequestRead states that the request of a context has been read as far as its handler
 // waits for it. Its connection is not closed anymore to make room for another. It
 // reports false if that has happened already; the request must not be served then.
@@ -267,3 +285,13 @@
 	c, ok := ctx.Value(connKey{}).(*clientConn)
 	return !ok || c.enter(phaseBusy)
 }
+
+// SetResponseDeadline bounds the writing of the response to the request of a context.
+// The connection is closed if the client has not taken the response by then.
+func SetResponseDeadline(ctx context.Context, t time.Time) {
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.responseDeadline = t
+	}
+}
--- a/peer/conn_set.go
+++ b/peer/conn_set.go
@@ -72,6 +72,9 @@
 		}
 	}
 	s.conns[c] = struct{}{}
+	if len(s.conns) > s.limits.Conns/fullBufferShare {
+		c.shrinkReceiveBuffer()
+	}
 	return true
 }
 
--- a/peer/listener.go
+++ b/peer/listener.go
@@ -100,7 +100,7 @@
 
 // Listen starts serving in the background. A later failure is sent to failed.
 func (l *Listener) Listen(failed chan<- error) error {
-	ln, err := net.Listen("tcp", l.addr)
+	ln, err := Listen(l.addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s for %s", l.addr, l.name)
 	}
--- a/peer/request_limits.go
+++ b/peer/request_limits.go
@@ -58,7 +58,21 @@
 	// defaultBodyTimeout bounds the reading of a request's body where the handler sets no
 	// deadline, for example because it does not read the body.
 	defaultBodyTimeout = 5 * time.Second
+	// writeTimeout bounds each write to a client. The client reads too slowly, or not at
+	// all, if its connection does not take a part of a response within it.
+	writeTimeout = 10 * time.Second
 	// youngHeadAge is how long a head is expected to take at most. Callers of the users'
 	// platform give up a connection that is not served for that long.
 	youngHeadAge = time.Second
 )
+
+// Sizes of the buffers of the kernel for one connection, in bytes. They are fixed, since
+// the kernel would let a connection grow to several megabytes: bytes that follow a
+// request which is still running, and responses that are not read, stay there.
+const (
+	socketBuffer = 128 << 10
+	// smallReceiveBuffer is used for the connections above a share of HoldLimits.Conns of
+	// one in fullBufferShare.
+	smallReceiveBuffer = 16 << 10
+	fullBufferShare    = 8
+)
