h1: Reject responses of HTTP/1.0 that are sent in chunks

Callers saw a body that was not the backend server's, with the sizes of its chunks in it, if the server answered with HTTP/1.0 and Transfer-Encoding. RFC 9112 asks that such framing be treated as faulty.

Evidence, on the commit before: TestMalformedResponse of mesh fails for both responses, with and without a length, at the node's own server and at another node's, with a 200 in place of 502.

Ruled out: a refusal of HTTP/1.0, whose other responses are valid; a check after the response is parsed, because net/http removes the field.

Change: the scanner of the head refuses the field in HTTP/1.0. The clients that use an http.Transport can't see it: in the product's own interface such a body with a length would still be taken (open).

After: all pass, 3 times each with the race detector.

--- a/h1/head_scanner.go
+++ b/h1/head_scanner.go
@@ -17,8 +17,9 @@
 	// the whole line.
 	start  [lineStart]byte
 	length int
-	// inFields is set after the status line, interim if that is of an interim response.
-	inFields, interim bool
+	// inFields is set after the status line, interim if that is of an interim response,
+	// http10 if it is of HTTP/1.0.
+	inFields, interim, http10 bool
 	// complete is set at the end of the head; what follows is not scanned.
 	complete bool
 	// err is the first *HeadError, nil if there is none.
@@ -77,13 +78,21 @@
 	fields := bytes.Fields(line)
 	s.inFields = true
 	s.interim = len(fields) > 1 && fields[1][0] == '1'
+	s.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 }
 
 // checkField checks the line of a field.
 func (s *headScanner) checkField(line []byte) {
-	// Such a line once continued the one before it. net/http adds its text to that field.
-	if line[0] == ' ' || line[0] == '\t' {
+	name, _, _ := bytes.Cut(line, []byte{':'})
+	switch {
+	case line[0] == ' ' || line[0] == '\t':
+		// Such a line once continued the one before it. net/http adds its text to that
+		// field.
 		s.fail("line", line)
+	case s.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		// HTTP/1.0 has no such field. net/http ignores it, so that the body would hold the
+		// sizes of the chunks.
+		s.fail("field of HTTP/1.0", line)
 	}
 }
 
