h1: Reject responses of another major version of HTTP

Callers got an answer from a head that said HTTP/2.0 or HTTP/0.9: bytes that are no response on such a connection.

Evidence, on the commit before: TestMalformedResponse fails for both versions in mesh (a 200 at both servers), node (answered), peer and source, and TestMalformedProbe.

Change: the check of the head refuses another major version than 1.

After: all pass, 3 times each with the race detector.

--- a/h1/head.go
+++ b/h1/head.go
@@ -25,6 +25,9 @@
 // checkHead checks what net/http accepts in the head of a response. The error is a
 // *HeadError.
 func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return &HeadError{part: "version", value: resp.Proto}
+	}
 	// 101 is valid only for a request to change the protocol, which is never sent.
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
 		return &HeadError{part: "status", value: resp.Status}
