h1: Scan the heads of responses to an http.Transport

In the product's own interface a caller got the sizes of chunks as the body of an answered call, if a backend server answered with HTTP/1.0, a length and chunks; the reader of the documents took such a body for a document. These clients also joined a line that begins with a blank to the field before it.

Ruled out: h1.Client in place of these clients, which would also change when their connections are reused; a scanner that finds the heads in the bytes of a connection, since a body may be written while the response is read.

Change: the connections of a Transport scan what they read after the Transport has chosen them for a request: they are idle then, so the head of its response comes next. The archive of broken responses is one again, and each of its readers plays all of it.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -160,7 +160,9 @@
 // readHeader reads the status line and header of the next response, and skips
 // interim (1xx) ones.
 func (x *exchange) readHeader(method string) (*http.Response, error) {
-	head := newHeadScanner(x.conn.br)
+	head := newHeadScanner()
+	buffered, _ := x.conn.br.Peek(x.conn.br.Buffered()) // never reads
+	head.scan(buffered)
 	x.conn.head = head
 	defer func() { x.conn.head = nil }()
 	for {
--- a/h1/head_scanner.go
+++ b/h1/head_scanner.go
@@ -1,9 +1,6 @@
 package h1
 
-import (
-	"bufio"
-	"bytes"
-)
+import "bytes"
 
 // lineStart is how much of each line a headScanner keeps, in bytes.
 const lineStart = 32
@@ -26,13 +23,8 @@
 	err error
 }
 
-// newHeadScanner returns a scanner of the next head of a connection. The bytes of it
-// that are buffered do not count for the limits.
-func newHeadScanner(br *bufio.Reader) *headScanner {
-	s := &headScanner{bytesLeft: maxHeadBytes, linesLeft: maxHeadLines}
-	buffered, _ := br.Peek(br.Buffered()) // never reads
-	s.scan(buffered)
-	return s
+func newHeadScanner() *headScanner {
+	return &headScanner{bytesLeft: maxHeadBytes, linesLeft: maxHeadLines}
 }
 
 // tooLarge reports whether the head has reached its limits.
@@ -45,6 +37,7 @@
 	s.scan(p)
 }
 
+// scan scans bytes that do not count for the limits.
 func (s *headScanner) scan(p []byte) {
 	for _, b := range p {
 		switch {
--- a/h1/head_scanner_test.go
+++ b/h1/head_scanner_test.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"bufio"
 	"strings"
 	"testing"
 
@@ -19,7 +18,7 @@
 		"HTTP/1.1 200 OK\r\nX-" + strings.Repeat("long-", 20) + ": one\r\n\r\n\tbody\r\n": "",
 	} {
 		for size := 1; size <= len(head); size++ {
-			s := newHeadScanner(bufio.NewReader(strings.NewReader("")))
+			s := newHeadScanner()
 			for rest := head; rest != ""; rest = rest[min(size, len(rest)):] {
 				s.add([]byte(rest[:min(size, len(rest))]))
 			}
--- a/h1/transport.go
+++ b/h1/transport.go
@@ -1,6 +1,13 @@
 package h1
 
-import "net/http"
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
 
 // Transport is an http.Transport that rejects responses whose head is not valid, as
 // Client does. Each may be the Transport of an http.Client. That copies the headers of
@@ -12,18 +19,38 @@
 
 // NewTransport returns a Transport that also limits the head of a response as Client
 // does. The default of net/http, 10 MB, would let a few faulty servers fill the memory.
+// t must not be used otherwise.
 func NewTransport(t *http.Transport) Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	t.MaxResponseHeaderBytes = maxHeadBytes
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &scannedConn{Conn: c}, nil
+	}
 	return Transport{Transport: t}
 }
 
 // RoundTrip sends one request. The error is a *HeadError if the response is not valid.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	head := newHeadScanner()
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		// The connection is idle, so that what it reads next is the head of the response.
+		head = newHeadScanner()
+		if c, ok := info.Conn.(*scannedConn); ok {
+			c.head.Store(head)
+		}
+	}}
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	if err := cmp.Or(head.err, checkHead(resp)); err != nil {
 		_ = resp.Body.Close() // the response is not used
 		return nil, err
 	}
@@ -32,3 +59,18 @@
 
 // Do sends one request, as RoundTrip does.
 func (t Transport) Do(r *http.Request) (*http.Response, error) { return t.RoundTrip(r) }
+
+// scannedConn is a connection of a Transport, which scans the heads of responses.
+type scannedConn struct {
+	net.Conn
+	// head scans the head of the latest request's response, nil before the first.
+	head atomic.Pointer[headScanner]
+}
+
+func (c *scannedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if head := c.head.Load(); head != nil {
+		head.scan(p[:n])
+	}
+	return n, err
+}
--- a/mesh/faulty_test.go
+++ b/mesh/faulty_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -113,20 +112,15 @@
 func TestMalformedResponse(t *testing.T) {
 	f := newFleet(t)
 	malformed := func(string) standin.AppFault { return standin.AppMalformed }
-	responsesTo := func(id string) map[string]string {
-		all := standin.MalformedResponses(id)
-		maps.Copy(all, standin.MaskedResponses(id))
-		return all
-	}
 	responseTo := func(id string) string {
 		_, name, _ := strings.Cut(id, " ")
-		return responsesTo(id)[name]
+		return standin.MalformedResponses(id)[name]
 	}
 	shop := f.add(standin.AppOptions{ID: "i-shop", Service: "shop", Slots: 10, Fault: malformed, RawResponse: responseTo})
 	one := f.add(standin.AppOptions{ID: "i-1", Service: "one", Slots: 10, Fault: malformed, RawResponse: responseTo})
 	f.applyConfig(1, routeTo("one", "/one/", "unsafe"), routeTo("shop", "/shop/", "unsafe"))
 	for path, app := range map[string]*standin.App{"/one/": one.app, "/shop/": shop.app} {
-		for name := range responsesTo("") {
+		for name := range standin.MalformedResponses("") {
 			t.Run(path+name, func(t *testing.T) {
 				id := path + " " + name
 				r := shop.send(callerRequest{path: path, id: id})
--- a/standin/malformed.go
+++ b/standin/malformed.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	_ "embed" // for the archives of responses
+	_ "embed" // for malformed.txtar
 	"io"
 	"net/http"
 	"strings"
@@ -12,25 +12,16 @@
 //go:embed malformed.txtar
 var malformed []byte
 
-//go:embed masked.txtar
-var masked []byte
-
-// rawBytes replaces the line ends and the escapes in the archives of responses.
-var rawBytes = strings.NewReplacer("\n", "\r\n", `\t`, "\t", `\r`, "\r", `\x00`, "\x00", `\x7f`, "\x7f", `\xe9`, "\xe9")
+// malformedBytes replaces the line ends and the escapes in malformed.txtar.
+var malformedBytes = strings.NewReplacer("\n", "\r\n", `\t`, "\t", `\r`, "\r", `\x00`, "\x00", `\x7f`, "\x7f", `\xe9`, "\xe9")
 
 // MalformedResponses returns responses to the request with the id that are not valid
 // HTTP, by name.
-func MalformedResponses(id string) map[string]string { return rawResponses(malformed, id) }
-
-// MaskedResponses returns responses to the request with the id that are not valid HTTP,
-// by name. Nothing of that is left once net/http has parsed them.
-func MaskedResponses(id string) map[string]string { return rawResponses(masked, id) }
-
-func rawResponses(archive []byte, id string) map[string]string {
+func MalformedResponses(id string) map[string]string {
 	responses := make(map[string]string)
-	for _, f := range txtar.Parse(archive).Files {
+	for _, f := range txtar.Parse(malformed).Files {
 		text := strings.TrimSuffix(string(f.Data), "\n")
-		responses[f.Name] = strings.ReplaceAll(rawBytes.Replace(text), "{id}", id)
+		responses[f.Name] = strings.ReplaceAll(malformedBytes.Replace(text), "{id}", id)
 	}
 	return responses
 }
