--- a/trial/mesh.go
+++ b/trial/mesh.go
@@ -259,6 +259,15 @@
 
 func (vm *meshVM) zone() string { return fmt.Sprintf("zone-%d", vm.index/len(meshServices)%3) }
 
+// anyMalformedResponse returns a response to the request with the id that is not valid
+// HTTP.
+func anyMalformedResponse(id string) string {
+	for _, raw := range standin.MalformedResponses(id) {
+		return raw // the order of a map is random
+	}
+	return ""
+}
+
 // startApp starts a backend server with a new ID on the VM.
 func (s *meshSoak) startApp(vm *meshVM) error {
 	s.appStarts++
@@ -266,6 +275,7 @@
 		ID: fmt.Sprintf("i-%d-%d", vm.index, s.appStarts), Service: vm.service, Zone: vm.zone(),
 		Addr: fmt.Sprintf("%s:%d", vm.ip, meshAppPort), Slots: 12, SelfTime: 8 * time.Millisecond,
 		EarlyLength:  meshEarlyLength,
+		RawResponse:  anyMalformedResponse,
 		OutboundAddr: fmt.Sprintf("%s:%d", vm.ip, meshOutboundPort),
 		Fault: func(string) standin.AppFault {
 			time.Sleep(time.Duration(vm.appDelay.Load()))
--- a/trial/mesh_faults.go
+++ b/trial/mesh_faults.go
@@ -137,6 +137,9 @@
 	{name: "app-cut-head", begin: appFault(standin.AppCutHead)},
 	{name: "app-refuse-twice", begin: appFault(standin.AppRefuseTwice)},
 	{name: "app-early", begin: appFault(standin.AppEarly)},
+	{name: "app-reset-early", begin: appFault(standin.AppResetEarly)},
+	{name: "app-close-early", begin: appFault(standin.AppCloseEarly)},
+	{name: "app-malformed", begin: appFault(standin.AppMalformed)},
 	{name: "app-slow", begin: (*meshSoak).slowBookings, duration: meshSlowDuration},
 	{name: "app-limit", begin: (*meshSoak).limitApp, duration: meshLimitDuration},
 	{name: "config", begin: func(s *meshSoak, _ *meshVM) func() {
