h1: Refuse a status line whose status comes after many blanks

net/http skips blanks before the status. With more of them than the scanner keeps of a line, it took an interim response for the final one and did not scan the head after it. TestHeadScannerPieces failed without the change: the head had no error.

--- a/h1/head_scanner.go
+++ b/h1/head_scanner.go
@@ -67,10 +67,16 @@
 	}
 }
 
+// startHead reads the status line of a head.
 func (s *headScanner) startHead(line []byte) {
 	fields := bytes.Fields(line)
 	s.inFields = true
-	s.interim = len(fields) > 1 && fields[1][0] == '1'
+	if len(fields) < 2 {
+		// net/http may find the status behind more blanks.
+		s.fail("status line", line)
+		return
+	}
+	s.interim = fields[1][0] == '1'
 	s.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 }
 
--- a/h1/head_scanner_test.go
+++ b/h1/head_scanner_test.go
@@ -11,6 +11,7 @@
 // and against taking a line of the body for one of the head.
 func TestHeadScannerPieces(t *testing.T) {
 	for head, want := range map[string]string{
+		"HTTP/1.1" + strings.Repeat(" ", 40) + "100 Continue\r\n\r\n":                     `malformed status line "HTTP/1.1                        " in a response`,
 		"HTTP/1.1 200 OK\r\nX-Any: one\r\n two\r\n\r\n":                                   `malformed line " two" in a response`,
 		"HTTP/1.1 200 OK\nX-Any: one\n\ttwo\n\n":                                          `malformed line "\ttwo" in a response`,
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Any: one\r\n \r\n\r\n":         `malformed line " " in a response`,
