h1: Look for a broken connection only at the end of the stream

Each read took the lock of the upload's writes. Also say what Transport is for, and what a name with a blank is, in plainer words.

--- a/h1/head.go
+++ b/h1/head.go
@@ -32,8 +32,8 @@
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
 		return &HeadError{part: "status", value: resp.Status}
 	}
-	// A name with a blank is not the field that it resembles: the body of a response with
-	// "Content-Length : 5" would end anywhere.
+	// A name with a blank is not that of the field which it resembles: the length in
+	// "Content-Length : 5" would not limit the body.
 	for name := range resp.Header {
 		if !isToken(name) {
 			return &HeadError{part: "name of a field", value: name}
@@ -44,7 +44,7 @@
 
 // isToken reports whether s may be the name of a field.
 func isToken(s string) bool {
-	return s != "" && strings.IndexFunc(s, func(r rune) bool { return !isTokenRune(r) }) < 0
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool { return !isTokenRune(r) })
 }
 
 func isTokenRune(r rune) bool {
--- a/h1/pool.go
+++ b/h1/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -57,8 +58,8 @@
 		return 0, errHeadTooLarge
 	}
 	n, err := c.Conn.Read(p)
-	if broken := c.breakError(); broken != nil && errors.Is(err, io.EOF) {
-		err = broken
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(c.breakError(), err)
 	}
 	c.received += int64(n)
 	if c.head != nil {
--- a/h1/transport.go
+++ b/h1/transport.go
@@ -10,9 +10,8 @@
 )
 
 // Transport is an http.Transport that rejects responses whose head is not valid, as
-// Client does. Each may be the Transport of an http.Client. That copies the headers of
-// each request to support redirects and cookies, which calls between nodes never use;
-// Do sends them directly.
+// Client does. Calls use it through Do: an http.Client would copy the headers of each
+// request to support redirects and cookies, which calls never use.
 type Transport struct {
 	*http.Transport
 }
