h1: Check a response's head in one place, and close its connection at once

After a response that was not valid but had an empty body, the http.Transport of the product's own interface kept the connection, and the next call was sent on it: what the server sent next would have been taken for that call's response.

Cause: a part of the checks came after net/http had parsed the head. It puts the connection of a response without a body back before RoundTrip returns, so closing it there would race with the next call.

With status 000 net/http itself drops the connection.

Change: the scanner does all checks, on the bytes, and the connection of a Transport is closed before what it has read is parsed. The check after parsing is gone; so is a second scanner for each call. h1.Client now fails as soon as the line that is not valid has arrived. Which responses are refused, and the texts of the errors, are as before; only a status behind more than 21 blanks is refused as well.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -167,13 +167,10 @@
 	defer func() { x.conn.head = nil }()
 	for {
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
-		if err != nil && head.tooLarge() {
-			return nil, errHeadTooLarge
-		}
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(head.failure(), err)
 		}
-		if err := cmp.Or(head.err, checkHead(resp)); err != nil {
+		if err := head.invalid(); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
--- a/h1/head_scanner.go
+++ b/h1/head_scanner.go
@@ -1,34 +1,64 @@
 package h1
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+)
 
-// lineStart is how much of each line a headScanner keeps, in bytes.
-const lineStart = 32
+const (
+	// lineStart is how much of each line a headScanner keeps, in bytes.
+	lineStart = 32
+	// maxStatus is the largest status code of HTTP.
+	maxStatus = 599
+)
 
-// headScanner limits the head of a response, together with those of the interim (1xx)
-// responses before it, and checks it for what can't be seen after net/http has parsed it.
+// headScanner checks the bytes of a response's head, together with the heads of the
+// interim (1xx) responses before it, and counts them for their limits. What net/http makes
+// of a head that is not valid can't be told apart from a valid one afterwards.
 type headScanner struct {
 	// bytesLeft and linesLeft are how many bytes and lines may still be read.
 	bytesLeft, linesLeft int
-	// start holds the first bytes of the line that is being read, length the length of
-	// the whole line.
+	// start holds the first bytes of the line that is being read, length their number.
 	start  [lineStart]byte
 	length int
+	// nameEnded is set at the first colon of a line, badName if a byte before it may not be
+	// in the name of a field.
+	nameEnded, badName bool
 	// inFields is set after the status line, interim if that is of an interim response,
 	// http10 if it is of HTTP/1.0.
 	inFields, interim, http10 bool
 	// complete is set at the end of the head; what follows is not scanned.
 	complete bool
-	// err is the first *HeadError, nil if there is none.
-	err error
+	// err is the first error, nil if there is none. It may be read during a scan.
+	err atomic.Pointer[HeadError]
 }
 
 func newHeadScanner() *headScanner {
 	return &headScanner{bytesLeft: maxHeadBytes, linesLeft: maxHeadLines}
 }
 
-// tooLarge reports whether the head has reached its limits.
-func (s *headScanner) tooLarge() bool { return s.bytesLeft <= 0 || s.linesLeft <= 0 }
+// invalid returns a *HeadError if the head is not valid, else nil.
+func (s *headScanner) invalid() error {
+	if err := s.err.Load(); err != nil {
+		return err
+	}
+	return nil
+}
+
+// failure returns why no more of the head may be read: it is not valid or has reached its
+// limits. It returns nil if more may be read.
+func (s *headScanner) failure() error {
+	if err := s.invalid(); err != nil {
+		return err
+	}
+	if s.bytesLeft <= 0 || s.linesLeft <= 0 {
+		return errHeadTooLarge
+	}
+	return nil
+}
 
 // add counts and scans the next bytes that were read.
 func (s *headScanner) add(p []byte) {
@@ -44,17 +74,35 @@
 		case s.complete:
 			return
 		case b == '\n':
-			s.endLine(bytes.TrimSuffix(s.start[:min(s.length, lineStart)], []byte{'\r'}))
-			s.length = 0
+			s.endLine(bytes.TrimSuffix(s.start[:s.length], []byte{'\r'}))
+			s.length, s.nameEnded, s.badName = 0, false, false
 		default:
-			if s.length < lineStart {
-				s.start[s.length] = b
-			}
-			s.length++
+			s.addByte(b)
 		}
 	}
 }
 
+// addByte adds a byte to the line that is being read.
+func (s *headScanner) addByte(b byte) {
+	if s.length < lineStart {
+		s.start[s.length] = b
+		s.length++
+	}
+	if !s.nameEnded {
+		s.nameEnded = b == ':'
+		s.badName = s.badName || !s.nameEnded && !isTokenByte(b)
+	}
+}
+
+// isTokenByte reports whether the name of a field may contain a byte.
+func isTokenByte(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // endLine checks a line, of which it gets the start.
 func (s *headScanner) endLine(line []byte) {
 	switch {
@@ -67,17 +115,30 @@
 	}
 }
 
-// startHead reads the status line of a head.
+// startHead checks the status line of a head.
 func (s *headScanner) startHead(line []byte) {
-	fields := bytes.Fields(line)
+	version, status, _ := bytes.Cut(line, []byte{' '})
+	status = bytes.TrimLeft(status, " ")
+	code, _, _ := bytes.Cut(status, []byte{' '})
 	s.inFields = true
-	if len(fields) < 2 {
+	s.http10 = string(version) == "HTTP/1.0"
+	s.interim = bytes.HasPrefix(code, []byte{'1'})
+	switch {
+	case len(code) == 0:
 		// net/http may find the status behind more blanks.
 		s.fail("status line", line)
-		return
+	case !bytes.HasPrefix(version, []byte("HTTP/1.")):
+		s.fail("version", version)
+	case !isStatus(string(code)):
+		s.fail("status", status)
 	}
-	s.interim = fields[1][0] == '1'
-	s.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
+}
+
+// isStatus reports whether a status code may be that of a response. 101 is valid only for
+// a request to change the protocol, which is never sent.
+func isStatus(code string) bool {
+	n, err := strconv.Atoi(code)
+	return err == nil && len(code) == 3 && n >= http.StatusContinue && n <= maxStatus && n != http.StatusSwitchingProtocols
 }
 
 // checkField checks the line of a field.
@@ -88,6 +149,10 @@
 		// Such a line once continued the one before it. net/http adds its text to that
 		// field.
 		s.fail("line", line)
+	case s.badName || len(name) == 0:
+		// A name with a blank is not that of the field which it resembles: the length in
+		// "Content-Length : 5" would not limit the body.
+		s.fail("name of a field", name)
 	case s.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		// HTTP/1.0 has no such field. net/http ignores it, so that the body would hold the
 		// sizes of the chunks.
@@ -96,7 +161,5 @@
 }
 
 func (s *headScanner) fail(part string, value []byte) {
-	if s.err == nil {
-		s.err = &HeadError{part: part, value: string(value)}
-	}
+	s.err.CompareAndSwap(nil, &HeadError{part: part, value: string(value)})
 }
--- a/h1/head_scanner_test.go
+++ b/h1/head_scanner_test.go
@@ -25,10 +25,10 @@
 			}
 			require.True(t, s.complete)
 			if want == "" {
-				require.NoError(t, s.err, head)
+				require.NoError(t, s.invalid(), head)
 				continue
 			}
-			require.EqualError(t, s.err, want)
+			require.EqualError(t, s.invalid(), want)
 		}
 	}
 }
--- a/h1/pool.go
+++ b/h1/pool.go
@@ -18,7 +18,7 @@
 type persistConn struct {
 	net.Conn
 	addr string
-	// br reads from this persistConn, which enforces the limits of head.
+	// br reads from this persistConn, which enforces what head finds.
 	br *bufio.Reader
 	// head scans the head that is being read, nil while no head is read.
 	head *headScanner
@@ -50,12 +50,14 @@
 	return c
 }
 
-// Read reads from the connection. It fails with errHeadTooLarge if the limit of
-// the head was reached before. It returns io.EOF only if the server has ended the
+// Read reads from the connection. It fails if the head that is being read is not valid or
+// has reached its limits. It returns io.EOF only if the server has ended the
 // stream, not if the connection broke.
 func (c *persistConn) Read(p []byte) (int, error) {
-	if c.head != nil && c.head.tooLarge() {
-		return 0, errHeadTooLarge
+	if c.head != nil {
+		if err := c.head.failure(); err != nil {
+			return 0, err
+		}
 	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
--- a/h1/transport.go
+++ b/h1/transport.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -37,7 +36,8 @@
 
 // RoundTrip sends one request. The error is a *HeadError if the response is not valid.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	head := newHeadScanner()
+	// head is that of the connection tried last, nil before the first.
+	var head *headScanner
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		// The connection is idle, so that what it reads next is the head of the response.
 		head = newHeadScanner()
@@ -46,20 +46,21 @@
 		}
 	}}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil {
-		return nil, err
+	if head == nil || head.invalid() == nil {
+		return resp, err
 	}
-	if err := cmp.Or(head.err, checkHead(resp)); err != nil {
+	if err == nil {
 		_ = resp.Body.Close() // the response is not used
-		return nil, err
 	}
-	return resp, nil
+	return nil, head.invalid()
 }
 
 // Do sends one request, as RoundTrip does.
 func (t Transport) Do(r *http.Request) (*http.Response, error) { return t.RoundTrip(r) }
 
-// scannedConn is a connection of a Transport, which scans the heads of responses.
+// scannedConn is a connection of a Transport, which scans the heads of responses. It is
+// closed as soon as one is not valid: after a response without a body, net/http would keep
+// it for other requests before RoundTrip has returned.
 type scannedConn struct {
 	net.Conn
 	// head scans the head of the latest request's response, nil before the first.
@@ -68,8 +69,13 @@
 
 func (c *scannedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if head := c.head.Load(); head != nil {
-		head.scan(p[:n])
+	head := c.head.Load()
+	if head == nil {
+		return n, err
+	}
+	head.scan(p[:n])
+	if head.invalid() != nil {
+		_ = c.Close() // what was read is still parsed, and not used
 	}
 	return n, err
 }
